--- /dev/null
+++ b/internal/wire/opening.go
@@ -0,0 +1,114 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"hatchproxy/logic"
+)
+
+// pairs are the path=value lines that come with an instance's start.
+type pairs map[string]string
+
+func readPairs(text string) pairs {
+	p := pairs{}
+	for line := range strings.Lines(text) {
+		if path, value, found := strings.Cut(strings.TrimSpace(line), "="); found {
+			p[path] = value
+		}
+	}
+	return p
+}
+
+// number reads a figure; an absent one is 0.
+func (p pairs) number(path string) (float64, error) {
+	value := p[path]
+	if value == "" {
+		return 0, nil
+	}
+	x, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", path, err)
+	}
+	return x, nil
+}
+
+// numbers reads several figures, and names the first that cannot be read.
+func (p pairs) numbers(paths ...string) ([]float64, error) {
+	found := make([]float64, len(paths))
+	for i, path := range paths {
+		x, err := p.number(path)
+		if err != nil {
+			return nil, err
+		}
+		found[i] = x
+	}
+	return found, nil
+}
+
+func (p pairs) row(path string) []string {
+	if p[path] == "" {
+		return nil
+	}
+	return strings.Split(p[path], ",")
+}
+
+var (
+	repeats   = map[string]logic.Repeat{"repeatable": logic.Harmless, "by_key": logic.Stamped, "once": logic.OneShot}
+	reaches   = map[string]logic.Reach{"all": logic.ReachAll, "zone": logic.ReachZone, "cell": logic.ReachCell}
+	weighings = map[string]logic.Weighing{
+		"nominal": logic.ByNominalSize, "rough": logic.ByRoughSize, "live": logic.ByLiveShare,
+	}
+)
+
+func (p pairs) products() ([]logic.Product, error) {
+	count, err := p.number("products.count")
+	if err != nil {
+		return nil, err
+	}
+	messages := p.row("family-info.message-aim-ms")
+	products := make([]logic.Product, int(count))
+	for i := range products {
+		at := "products." + strconv.Itoa(i) + "."
+		f, err := p.numbers(at+"quoted-time-ms", at+"window-ms")
+		if err != nil {
+			return nil, err
+		}
+		products[i] = logic.Product{Quoted: micros(f[0]), Memory: micros(f[1]), Reach: reaches[p[at+"group"]]}
+		repeat, known := repeats[p[at+"idempotency"]]
+		if !known {
+			repeat = logic.OneShot // the strictest kind, should a new word ever come
+		}
+		products[i].Repeat = repeat
+		if i < len(messages) {
+			aim, err := strconv.ParseFloat(messages[i], 64)
+			if err != nil {
+				return nil, fmt.Errorf("family-info.message-aim-ms: %w", err)
+			}
+			products[i].Message = micros(aim)
+		}
+	}
+	return products, nil
+}
+
+// opening makes an instance of the decisions from its seed and the lines that came with it.
+func opening(seed uint64, text string) (*logic.Balancer, error) {
+	p := readPairs(text)
+	products, err := p.products()
+	if err != nil {
+		return nil, err
+	}
+	f, err := p.numbers("my-number", "group-size", "zone", "invariants.ask-within-ms",
+		"invariants.start-capacity", "invariants.cold-ms", "invariants.fall-multiple", "invariants.fall-ms",
+		"limits.max-dispatches", "prices.cross-zone", "prices.moves")
+	if err != nil {
+		return nil, err
+	}
+	return logic.New(int64(seed), int(f[0]), int(f[1]), logic.ZoneID(f[2]), products, weighings[p["weight-kind"]],
+		logic.List(p["membership-mode"] == "subscribe", micros(f[3])),
+		logic.Cold(f[4], micros(f[5]), f[6], micros(f[7])),
+		logic.Permit(int(f[8]), p["limits.probes"] == "true", p["limits.retry-after"] == "true",
+			p["family-info.mode"] == "pass"),
+		logic.Tolls(f[9], f[10])), nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,318 @@
+// Package wire reads the simulator's batches, passes each decoded field into a call of the host, and writes
+// the replies. The wire's names end here.
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"hatchproxy/internal/host"
+	"hatchproxy/logic"
+)
+
+const (
+	batchHeader = 20
+	eventSize   = 56
+	entrySize   = 23
+	// longest is far above the megabytes a batch may reach; a longer one is taken for garbage.
+	longest = 1 << 30
+)
+
+var outcomes = [...]logic.Outcome{
+	logic.Failure, logic.OK, logic.Full, logic.TimedOut, logic.NoConnection, logic.Reset, logic.Cancelled, logic.Moot,
+}
+
+var states = [...]logic.State{1: logic.Gone, 2: logic.Ready, 3: logic.Draining}
+
+// wireClock guards against a time that is no number or does not fit.
+const wireClock = 1e15
+
+func micros(millis float64) logic.Micros {
+	if !(math.Abs(millis) < wireClock) {
+		return 0
+	}
+	return logic.Micros(math.Round(millis * 1000))
+}
+
+// frame is one batch as it came in, with a place to note the first impossible field.
+type frame struct {
+	records, tail []byte
+	now           logic.Micros
+	batch         uint32
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
+	reply := &Reply{}
+	d := &desk{host: host.New(reply), reply: reply}
+	var buf []byte
+	for {
+		f, err := read(r, &buf)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		reply.reset()
+		if err := d.answer(f); err != nil {
+			return fmt.Errorf("batch %d: %w", f.batch, err)
+		}
+		if _, err := w.Write(reply.finish(f.batch)); err != nil {
+			return fmt.Errorf("writing the reply to batch %d: %w", f.batch, err)
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("writing the reply to batch %d: %w", f.batch, err)
+		}
+	}
+}
+
+// read takes one frame off the line; io.EOF only where no byte of a further one has come.
+func read(r io.Reader, buf *[]byte) (frame, error) {
+	var head [batchHeader]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return frame{}, io.EOF
+		}
+		return frame{}, fmt.Errorf("the input ends within a header: %w", err)
+	}
+	get := binary.BigEndian
+	count, length := uint64(get.Uint32(head[:])), uint64(get.Uint32(head[4:]))
+	clock := math.Float64frombits(get.Uint64(head[8:]))
+	records := count * eventSize
+	if length < batchHeader+records || length > longest {
+		return frame{}, fmt.Errorf("a frame of %d bytes cannot hold %d records", length, count)
+	}
+	if !(math.Abs(clock) < wireClock) {
+		return frame{}, fmt.Errorf("the clock reads %v", clock)
+	}
+	rest := int(length - batchHeader)
+	if cap(*buf) < rest {
+		*buf = make([]byte, rest)
+	}
+	body := (*buf)[:rest]
+	if _, err := io.ReadFull(r, body); err != nil {
+		return frame{}, fmt.Errorf("the input ends within a frame: %w", err)
+	}
+	return frame{body[:records], body[records:], micros(clock), get.Uint32(head[16:])}, nil
+}
+
+// desk passes the events of a batch to the selected instance.
+type desk struct {
+	host     *host.Host
+	reply    *Reply
+	selected host.InstanceID
+	chosen   bool
+	instance *host.Instance
+}
+
+// answer runs one batch. A panic in the decisions becomes the wire's word for it.
+func (d *desk) answer(f frame) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			d.reply.broken(d.selected, fmt.Sprint(cause))
+			err = nil
+		}
+	}()
+	d.chosen, d.instance = false, nil
+	for i := 0; i < len(f.records); i += eventSize {
+		if err := d.event(f, f.records[i:i+eventSize]); err != nil {
+			return fmt.Errorf("record %d: %w", i/eventSize, err)
+		}
+	}
+	d.rest(f.now)
+	return nil
+}
+
+func (d *desk) rest(now logic.Micros) {
+	if d.instance != nil {
+		d.instance.Rest(now)
+	}
+}
+
+func (d *desk) event(f frame, rec []byte) error {
+	at := field(rec)
+	switch code := rec[0]; code {
+	case 1:
+		d.rest(f.now)
+		d.selected, d.chosen = host.InstanceID(at.u32(1)), true
+		d.instance, _ = d.host.Instance(d.selected) // none yet if it opens within this batch
+		return nil
+	case 11:
+		return d.open(f, at)
+	case 8:
+		d.host.Kill(d.selected)
+		d.instance = nil
+		return nil
+	default:
+		if d.instance == nil {
+			return fmt.Errorf("event %d for instance %d, which is not open", code, d.selected)
+		}
+		return d.told(f, at, code)
+	}
+}
+
+func (d *desk) open(f frame, at field) error {
+	if !d.chosen {
+		return errors.New("an instance opens before one was selected")
+	}
+	text, err := f.slice(at, 9, 1)
+	if err != nil {
+		return err
+	}
+	b, err := opening(at.u64(1), string(text))
+	if err != nil {
+		return fmt.Errorf("opening instance %d: %w", d.selected, err)
+	}
+	d.instance = d.host.Open(d.selected, b)
+	return nil
+}
+
+// told passes an event of a running instance on.
+func (d *desk) told(f frame, at field, code byte) error {
+	in, now := d.instance, f.now
+	switch code {
+	case 2, 5: // a peer's message means nothing here, and a reminder only wakes
+	case 3:
+		o, err := at.outcome(15)
+		if err != nil {
+			return err
+		}
+		in.Ended(now, at.attachment(1), o, at[10] != 0)
+	case 4:
+		a := at.newAttachment(now, at[9], 20, 44, 28)
+		a.Key, a.Group = logic.ClientKey(at.u64(12)), logic.GroupID(at.u64(36))
+		if err := d.known(a); err != nil {
+			return err
+		}
+		in.CarriedOver(now, a, at.server(46))
+	case 6:
+		return d.list(f, at)
+	case 7:
+		in.SetUp(now, at.attachment(1))
+	case 9:
+		in.ClientLeft(now, at.attachment(1))
+	case 10:
+		level := float64(math.Float32frombits(at.u32(15)))
+		if at[14] == 1 {
+			in.LoadChanged(now, at.attachment(1), level)
+		} else if at[14] == 2 {
+			in.Delay(now, at.server(10), micros(level))
+		}
+	case 12:
+		o, err := at.outcome(5)
+		if err != nil {
+			return err
+		}
+		report, err := at.report(15)
+		if err != nil {
+			return err
+		}
+		in.Probed(now, at.server(1), o, report)
+	case 13:
+		a := at.newAttachment(now, at[9], 10, 28, 38)
+		a.Key, a.Group = logic.ClientKey(at.u64(20)), logic.GroupID(at.u64(30))
+		if err := d.known(a); err != nil {
+			return err
+		}
+		in.Arrived(now, a)
+	default:
+		return fmt.Errorf("event code %d is unknown", code)
+	}
+	return nil
+}
+
+// known guards against a product that the opening did not name.
+func (d *desk) known(a *logic.Attachment) error {
+	if !d.instance.Offers(a.Product) {
+		return fmt.Errorf("product %d is unknown", a.Product)
+	}
+	return nil
+}
+
+func (d *desk) list(f frame, at field) error {
+	entries, err := f.slice(at, 6, entrySize)
+	if err != nil {
+		return err
+	}
+	in, scope := d.instance, at[1]
+	switch scope {
+	case 4:
+		in.ListFailed(f.now)
+		return nil
+	case 0, 1:
+		in.ListWhole(f.now)
+	case 3:
+	default:
+		return fmt.Errorf("list scope %d is unknown", scope)
+	}
+	for ; len(entries) > 0; entries = entries[entrySize:] {
+		e := field(entries)
+		state := int(e[10])
+		if state < 1 || state >= len(states) {
+			return fmt.Errorf("server state %d is unknown", state)
+		}
+		weight := float64(math.Float32frombits(e.u32(11)))
+		in.Listed(f.now, e.server(0), logic.ZoneID(e.u16(4)), logic.CellID(e.u16(8)), states[state], weight,
+			e.micros(15))
+	}
+	in.ListDone(f.now, scope == 1)
+	return nil
+}
+
+// slice finds what a field says lies in the tail: so many items of so many bytes.
+func (f frame) slice(at field, offset, size int) ([]byte, error) {
+	start, length := uint64(at.u32(offset)), uint64(at.u32(offset+4))*uint64(size)
+	if start+length > uint64(len(f.tail)) {
+		return nil, fmt.Errorf("a field points %d bytes past the tail", start+length-uint64(len(f.tail)))
+	}
+	return f.tail[start : start+length], nil
+}
+
+// field reads the fields of one record by their offsets.
+type field []byte
+
+func (r field) u16(at int) uint16 { return binary.BigEndian.Uint16(r[at:]) }
+func (r field) u32(at int) uint32 { return binary.BigEndian.Uint32(r[at:]) }
+func (r field) u64(at int) uint64 { return binary.BigEndian.Uint64(r[at:]) }
+
+func (r field) attachment(at int) logic.AttachmentID { return logic.AttachmentID(r.u64(at)) }
+func (r field) server(at int) logic.ServerID         { return logic.ServerID(r.u32(at)) }
+func (r field) float(at int) float64                 { return math.Float64frombits(r.u64(at)) }
+func (r field) micros(at int) logic.Micros           { return micros(r.float(at)) }
+
+func (r field) outcome(at int) (logic.Outcome, error) {
+	code := int(r.u16(at))
+	if code >= len(outcomes) {
+		return 0, fmt.Errorf("outcome %d is unknown", code)
+	}
+	return outcomes[code], nil
+}
+
+func (r field) report(at int) ([]float64, error) {
+	n := int(r[at])
+	if n > 4 {
+		return nil, fmt.Errorf("a load report of %d values", n)
+	}
+	values := make([]float64, n)
+	for i := range values {
+		values[i] = float64(math.Float32frombits(r.u32(at + 1 + 4*i)))
+	}
+	return values, nil
+}
+
+// newAttachment reads what arrivals and carried connections share.
+func (r field) newAttachment(now logic.Micros, product byte, left, bits, hint int) *logic.Attachment {
+	a := &logic.Attachment{ID: r.attachment(1), Product: logic.ProductID(product), Came: now}
+	a.Limit = now + r.micros(left)
+	a.MidFlow = r.u16(bits)&8 != 0
+	if r.u16(bits)&1 != 0 {
+		a.Hint = 1000 * r.float(hint)
+	}
+	return a
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,656 @@
+// Package logic holds all decisions of hatchproxy.
+//
+// A host keeps the attachments and the timers. It asks three questions:
+//
+//	Where(now, attachment)              where to send it, or not yet, or never
+//	After(now, attachment, outcome)     what to do after this outcome
+//	Wait(now)                           how long to wait, with the errands due now
+//
+// Facts are told by calls that answer nothing: Listed and its kin, Stands, Load, Delay, Probed, Left, Carried.
+// The plain values that go in and out stand in types.go. An instance shares nothing with any other.
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"sort"
+)
+
+// Balancer is one instance of the decisions.
+type Balancer struct {
+	number   int // own index among the proxies: where the first scan starts
+	peers    int
+	zone     ZoneID
+	rng      *rand.Rand
+	products []Product
+	list     Listing
+	cold     ColdRule
+	leave    Leave
+	toll     Toll
+	weighing Weighing
+
+	servers  []*server // in the order of the list
+	byID     map[ServerID]*server
+	next     int // rotating start of the scan
+	setup    pace
+	unit     pace // load of a connection, microseconds a second
+	rate     float64
+	placed   float64
+	holders  map[ClientKey]ServerID
+	alike    float64 // median share of failures
+	shares   []float64
+	errands  []Errand
+	nextTick Micros
+	began    bool
+}
+
+// Listing says how the server list is followed.
+type Listing struct {
+	subscribe bool
+	within    Micros // an instance must ask this often to be spared from being deemed informed
+	asking    bool
+	on        bool
+	askAt     Micros
+	misses    int
+	whole     bool
+}
+
+// List sets up the following of the list; within is the span after which silence counts as being informed.
+func List(subscribe bool, within Micros) Listing {
+	return Listing{subscribe: subscribe, within: within}
+}
+
+// ColdRule is the rule on servers that have just started.
+type ColdRule struct {
+	start, multiple float64
+	warm, window    Micros
+}
+
+// Cold sets up the rule: capacity at the start, warm after, falls over above multiple for window.
+func Cold(start float64, warm Micros, multiple float64, window Micros) ColdRule {
+	return ColdRule{start: start, warm: warm, multiple: multiple, window: window}
+}
+
+// Leave is what the deployment permits.
+type Leave struct {
+	dispatches int
+	probes     bool
+	advice     bool // a push back may say when to come again
+	through    bool // packets pass through: connections outlive their proxy
+}
+
+// Permit sets up what the deployment permits.
+func Permit(dispatches int, probes, advice, through bool) Leave {
+	return Leave{dispatches: dispatches, probes: probes, advice: advice, through: through}
+}
+
+// Toll is what acts beside a dispatch cost, in parts of an attachment's gain.
+type Toll struct{ crossing, move float64 }
+
+// Tolls sets up the prices.
+func Tolls(crossing, move float64) Toll { return Toll{crossing: crossing, move: move} }
+
+type server struct {
+	id       ServerID
+	zone     ZoneID
+	cell     CellID
+	state    State
+	weight   float64
+	launched Micros
+	listed   bool
+
+	standing []*Attachment
+	waiting  []*Attachment // dispatches out, oldest first
+	units    float64       // load of both, in mean connections
+	start    float64       // starting count, wearing off
+	groups   map[GroupID]int
+
+	tries, fails float64
+	shunned      Micros // passed over until then
+	strikes      int
+	trial        bool // back on trial: one dispatch at a time
+	delay        Micros
+	delayAt      Micros
+	recent       []sent // sends while cold
+}
+
+type sent struct {
+	at    Micros
+	units float64
+}
+
+// pace follows a quantity's mean and mean deviation.
+type pace struct {
+	mean, spread float64
+	seen         bool
+}
+
+// add weighs a new sample with 1/8 and its deviation with 1/4, as TCP's timer does.
+func (p *pace) add(x float64) {
+	if !p.seen {
+		p.mean, p.spread, p.seen = x, x/2, true
+		return
+	}
+	p.spread += (math.Abs(x-p.mean) - p.spread) / 4
+	p.mean += (x - p.mean) / 8
+}
+
+// New starts an instance. Each part brings its own few figures.
+func New(seed int64, number, peers int, zone ZoneID, products []Product, weighing Weighing,
+	list Listing, cold ColdRule, leave Leave, toll Toll) *Balancer {
+	return &Balancer{
+		number: number, peers: max(peers, 1), zone: zone, rng: rand.New(rand.NewSource(seed)),
+		products: products, weighing: weighing, list: list, cold: cold, leave: leave, toll: toll,
+		next: number, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
+	}
+}
+
+// Offers tells whether the table of products holds this one.
+func (b *Balancer) Offers(p ProductID) bool { return int(p) < len(b.products) }
+
+// ---- the list
+
+// ListWhole announces a complete list: what is not named before ListDone is gone.
+func (b *Balancer) ListWhole(now Micros) {
+	b.list.whole = true
+	for _, s := range b.servers {
+		s.listed = false
+	}
+}
+
+// Listed tells one entry of the list.
+func (b *Balancer) Listed(now Micros, id ServerID, zone ZoneID, cell CellID, state State, weight float64,
+	launched Micros) {
+	s := b.byID[id]
+	if s == nil {
+		s = &server{id: id, groups: map[GroupID]int{}}
+		b.byID[id] = s
+		b.servers = append(b.servers, s)
+		s.state = Gone
+	}
+	fresh := launched > s.launched && now-launched < b.cold.warm
+	if state == Ready && (fresh || s.state == Gone) {
+		s.tries, s.fails, s.shunned, s.strikes, s.trial = 0, 0, 0, 0, false
+		// Guards against a newcomer drawing every attachment: it starts at the others' mean.
+		s.start = max(0, b.meanUnits(now, s)-s.units)
+	}
+	s.zone, s.cell, s.state, s.launched, s.listed = zone, cell, state, launched, true
+	s.weight = 1
+	if b.weighing != Unweighed && weight > 0 {
+		s.weight = weight
+	}
+}
+
+// ListDone closes a list or a change and notes that the call was answered.
+func (b *Balancer) ListDone(now Micros, cached bool) {
+	if b.list.whole {
+		for _, s := range b.servers {
+			if !s.listed {
+				s.state = Gone
+			}
+		}
+	}
+	b.list.whole = false
+	if !cached && b.list.asking {
+		b.list.asking, b.list.on, b.list.misses = false, true, 0
+	}
+}
+
+// ListFailed tells that a call failed or the subscription broke. Calls are spaced and seeded, so that
+// proxies that lost the list together do not come back together.
+func (b *Balancer) ListFailed(now Micros) {
+	b.list.asking, b.list.on = false, false
+	b.list.misses++
+	// 1 s at first, doubling to at most a third of the span within which the list must be asked.
+	wait := min(Second<<min(b.list.misses-1, 4), max(Second, b.list.within/3))
+	b.list.askAt = now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
+}
+
+func (b *Balancer) followList(now Micros) {
+	if !b.list.subscribe || b.list.on || now < b.list.askAt {
+		return
+	}
+	b.list.asking = true
+	b.list.askAt = now + max(Second, b.list.within/3) // a call that is never answered is made again
+	b.errands = append(b.errands, Errand{Task: Subscribe})
+}
+
+// ---- the pick
+
+func (b *Balancer) meanUnits(now Micros, but *server) float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.servers {
+		if s != but && s.state == Ready {
+			sum, n = sum+s.units, n+1
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// unitsOf is an attachment's load in mean connections.
+func (b *Balancer) unitsOf(a *Attachment) float64 {
+	level := a.level
+	if level == 0 {
+		level = a.Hint
+	}
+	if level <= 0 || !b.unit.seen || b.unit.mean <= 0 {
+		return 1
+	}
+	// Bounded: a hint is rough, and a mean of few is rougher.
+	return min(max(level/b.unit.mean, 0.1), 10)
+}
+
+// groupUnits is what a server is taken to pay for a group it does not hold yet: one mean connection. The
+// true price is told nowhere.
+const groupUnits = 1.0
+
+// lateAfter is how long a word on late messages holds: they come once a second.
+const lateAfter = 2500 * Millisecond
+
+func (s *server) late(now Micros) bool { return s.delay > 0 && now-s.delayAt < lateAfter }
+
+// stuckAfter is the design's figure for a set-up that has been pending too long.
+const stuckAfter = 2 * Second
+
+func (s *server) stuck(now Micros) bool {
+	return len(s.waiting) > 0 && now-s.waiting[0].sentAt > stuckAfter
+}
+
+// fit grades a server: 0 takes anything, 1 only when no 0 is there, and so on; -1 never.
+func (b *Balancer) fit(now Micros, s *server, a *Attachment) int {
+	switch {
+	case s.state != Ready || !b.mayGo(now, s, a):
+		return -1
+	case !b.warmEnough(now, s, a):
+		return -1
+	case s.stuck(now), s.shunned > now, s.trial && len(s.waiting) > 0:
+		return 2
+	case a.sends > 0 && a.last == s.id, s.late(now):
+		return 1
+	}
+	return 0
+}
+
+// pick scans from the rotating start for the least load per weight, the newcomer's included.
+func (b *Balancer) pick(now Micros, a *Attachment) *server {
+	n := len(b.servers)
+	var best *server
+	bestFit, bestCost := 0, 0.0
+	u := b.unitsOf(a)
+	for i := range n {
+		s := b.servers[(b.next+i)%n]
+		fit := b.fit(now, s, a)
+		if fit < 0 || (best != nil && fit > bestFit) {
+			continue
+		}
+		cost := b.cost(s, a, u)
+		if best == nil || fit < bestFit || cost < bestCost-1e-9 {
+			best, bestFit, bestCost = s, fit, cost
+		}
+	}
+	b.next = (b.next + 1) % max(n, 1)
+	return best
+}
+
+func (b *Balancer) cost(s *server, a *Attachment, u float64) float64 {
+	c := s.units + s.start + u
+	if a.Group != 0 && s.groups[a.Group] == 0 {
+		c += groupUnits
+	}
+	c /= s.weight
+	if s.zone != b.zone {
+		// A crossing is worth taking only where the own zone is fuller by its price.
+		c *= 1 + crossingWeight*b.toll.crossing
+	}
+	return c
+}
+
+// crossingWeight turns the price of a crossing into fullness: at a price of a tenth the own zone may be
+// twice as full.
+const crossingWeight = 10
+
+// warmEnough keeps the own part of the budget of a server that has just started.
+func (b *Balancer) warmEnough(now Micros, s *server, a *Attachment) bool {
+	age := now - s.launched
+	if s.launched == 0 || age >= b.cold.warm {
+		return true
+	}
+	spent := 0.0
+	for len(s.recent) > 0 && now-s.recent[0].at > b.cold.window {
+		s.recent = s.recent[1:]
+	}
+	for _, r := range s.recent {
+		spent += r.units
+	}
+	share := b.cold.start + (1-b.cold.start)*float64(age)/float64(b.cold.warm)
+	// A warm server bears at least what each is sent on average, so that rate stands for its capacity.
+	// Half of it is left unused against chance and against heavy attachments.
+	budget := 0.5 * b.cold.multiple * share * b.rate * float64(b.cold.window) / float64(Second)
+	return spent+b.unitsOf(a) <= max(budget, 1)
+}
+
+// mayGo keeps the rule on effects: where an earlier dispatch may have run, only a server that knows its
+// stamp, and only while it remembers.
+func (b *Balancer) mayGo(now Micros, s *server, a *Attachment) bool {
+	if a.ran == nil {
+		return true
+	}
+	p := &b.products[a.Product]
+	switch {
+	case p.Repeat == Harmless:
+		return true
+	case p.Repeat == OneShot || now-a.ranSince >= p.Memory:
+		return false
+	case p.Reach == ReachZone:
+		return s.zone == a.ran.zone
+	case p.Reach == ReachCell:
+		return s.cell == a.ran.cell
+	}
+	return true
+}
+
+// ---- the three questions
+
+// holdFor is how long an attachment waits for a server when none may take it.
+const holdFor = 50 * Millisecond
+
+// Where says where to send an attachment, or not yet, or never.
+func (b *Balancer) Where(now Micros, a *Attachment) Answer {
+	if a.on != nil {
+		return Answer{}
+	}
+	// The last tick before the hard limit is kept for the final answer.
+	if a.sends >= b.leave.dispatches || now+5*Millisecond >= a.Limit || !b.mayRepeat(now, a) {
+		return b.never(a)
+	}
+	s := b.holder(now, a)
+	if s == nil {
+		s = b.pick(now, a)
+	}
+	if s == nil {
+		return Answer{Verdict: NotYet, For: min(holdFor, a.Limit-now-4*Millisecond)}
+	}
+	if a.sends == 0 {
+		b.placed += b.unitsOf(a)
+	}
+	b.put(now, s, a)
+	return Answer{Verdict: Send, Server: s.id, For: b.patience(now, a)}
+}
+
+// holder returns packets of an open connection to the server that holds it, where this instance knows it.
+func (b *Balancer) holder(now Micros, a *Attachment) *server {
+	if !a.MidFlow || a.sends > 0 {
+		return nil
+	}
+	id, known := b.holders[a.Key]
+	if s := b.byID[id]; known && s.state == Ready {
+		return s
+	}
+	return nil
+}
+
+func (b *Balancer) mayRepeat(now Micros, a *Attachment) bool {
+	p := &b.products[a.Product]
+	return a.ran == nil || p.Repeat == Harmless || p.Repeat == Stamped && now-a.ranSince < p.Memory
+}
+
+// never is the final answer of an attachment that is sent no more: pushed back only where trying again is
+// harmless.
+func (b *Balancer) never(a *Attachment) Answer {
+	p := &b.products[a.Product]
+	if a.ran == nil || p.Repeat == Harmless || p.Repeat == Stamped && p.Reach == ReachAll {
+		ans := Answer{Verdict: PushBack}
+		if b.leave.advice {
+			ans.For = Second/2 + Micros(b.rng.Int63n(int64(Second/2)))
+		}
+		return ans
+	}
+	return Answer{Verdict: GiveUp}
+}
+
+// patience is the time-out of a dispatch. It leaves room for another server before the quoted time, but
+// follows the fleet's own set-up time, so that a slow store is not met with more dispatches.
+func (b *Balancer) patience(now Micros, a *Attachment) Micros {
+	p := &b.products[a.Product]
+	left := a.Limit - now
+	if p.Repeat == OneShot || a.sends >= b.leave.dispatches {
+		return left
+	}
+	usual := Micros(b.setup.mean + 4*b.setup.spread)
+	return min(left, max(usual, p.Quoted*2/5))
+}
+
+// After says what to do after an outcome; over tells that the attachment has had its final answer.
+func (b *Balancer) After(now Micros, a *Attachment, o Outcome, over bool) Answer {
+	s, stood := a.on, a.stands
+	b.take(a)
+	if s == nil {
+		return Answer{}
+	}
+	if o != OK && o != Cancelled && o != Moot {
+		b.failed(now, s, a, o)
+	}
+	if !stood && !o.neverRan() && a.ran == nil {
+		a.ran, a.ranSince = s, a.sentAt
+	}
+	if over || stood {
+		if b.leave.through && o != Cancelled {
+			delete(b.holders, a.Key)
+		}
+		return Answer{}
+	}
+	return b.Where(now, a)
+}
+
+// tick is the period of the one timer of an instance.
+const tick = 250 * Millisecond
+
+// Wait says how long to wait and hands out the errands that are due.
+func (b *Balancer) Wait(now Micros) (Micros, []Errand) {
+	b.errands = b.errands[:0]
+	if now >= b.nextTick {
+		b.nextTick = now + tick
+		b.wearOff()
+		b.followList(now)
+		b.relieve(now)
+	}
+	return b.nextTick - now, b.errands
+}
+
+// wearOff lets old evidence fade: failures over some 7 s, a starting count over some 9 s.
+func (b *Balancer) wearOff() {
+	ready := 0
+	for _, s := range b.servers {
+		s.tries *= 0.975
+		s.fails *= 0.975
+		s.start *= 0.97
+		if s.state == Ready {
+			ready++
+		}
+	}
+	b.rate += (b.placed*float64(Second)/float64(tick)/float64(max(ready, 1)) - b.rate) / 40
+	b.placed = 0
+}
+
+// ---- counting
+
+func (b *Balancer) put(now Micros, s *server, a *Attachment) {
+	a.on, a.sentAt, a.last, a.units = s, now, s.id, b.unitsOf(a)
+	a.sends++
+	s.units += a.units
+	s.waiting = append(s.waiting, a)
+	if a.Group != 0 {
+		s.groups[a.Group]++
+	}
+	if s.launched != 0 && now-s.launched < b.cold.warm {
+		s.recent = append(s.recent, sent{now, a.units})
+	}
+}
+
+// take removes an attachment from its server's count.
+func (b *Balancer) take(a *Attachment) {
+	s := a.on
+	if s == nil {
+		return
+	}
+	s.units -= a.units
+	if a.Group != 0 {
+		if s.groups[a.Group]--; s.groups[a.Group] == 0 {
+			delete(s.groups, a.Group)
+		}
+	}
+	if a.stands {
+		last := len(s.standing) - 1
+		s.standing[a.slot] = s.standing[last]
+		s.standing[a.slot].slot = a.slot
+		s.standing = s.standing[:last]
+	} else {
+		s.settle(a)
+	}
+	if len(s.standing)+len(s.waiting) == 0 {
+		s.units = 0
+	}
+	a.on, a.stands = nil, false
+}
+
+func (s *server) settle(a *Attachment) {
+	for i, w := range s.waiting {
+		if w == a {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Stands tells that a connection is set up.
+func (b *Balancer) Stands(now Micros, a *Attachment) {
+	s := a.on
+	if s == nil || a.stands {
+		return
+	}
+	s.settle(a)
+	b.stand(s, a)
+	b.setup.add(float64(now - a.sentAt))
+	s.tries++
+	if s.trial {
+		s.trial, s.fails = false, s.fails/2
+	}
+	if b.leave.through {
+		b.holders[a.Key] = s.id
+	}
+}
+
+func (b *Balancer) stand(s *server, a *Attachment) {
+	a.stands, a.slot = true, len(s.standing)
+	s.standing = append(s.standing, a)
+}
+
+// Carried tells of a connection that stood through this instance when it started.
+func (b *Balancer) Carried(now Micros, a *Attachment, id ServerID) {
+	s := b.byID[id]
+	if s == nil {
+		return
+	}
+	b.put(now, s, a)
+	s.settle(a)
+	b.stand(s, a)
+}
+
+// Left tells that the client is gone; a dispatch still out will have its outcome.
+func (b *Balancer) Left(now Micros, a *Attachment) {
+	if a.stands {
+		b.take(a)
+	}
+}
+
+// Load tells a standing connection's load now, in microseconds of work a second.
+func (b *Balancer) Load(now Micros, a *Attachment, level float64) {
+	if level <= 0 || a.on == nil {
+		return
+	}
+	a.level = level
+	b.unit.add(level)
+	a.on.units -= a.units
+	a.units = b.unitsOf(a)
+	a.on.units += a.units
+}
+
+// Delay tells how long a message takes at a server now.
+func (b *Balancer) Delay(now Micros, id ServerID, took Micros) {
+	s := b.byID[id]
+	if s == nil {
+		return
+	}
+	s.delay, s.delayAt = 0, now
+	if took >= b.quickest()/3 {
+		s.delay = took
+	}
+}
+
+// quickest is the shortest quoted time of a message.
+func (b *Balancer) quickest() Micros {
+	q := Micros(math.MaxInt64)
+	for _, p := range b.products {
+		if p.Message > 0 {
+			q = min(q, p.Message)
+		}
+	}
+	return q
+}
+
+// Probed tells a probe's result.
+func (b *Balancer) Probed(now Micros, id ServerID, o Outcome, report []float64) {}
+
+// ---- judging
+
+// failed books a failure and passes over a server whose share of failures is far above the median.
+func (b *Balancer) failed(now Micros, s *server, a *Attachment, o Outcome) {
+	s.tries++
+	s.fails++
+	b.alike = b.median()
+	if b.alike > 0.2 {
+		// Guards against a store that slows every set-up: waiting longer, not asking more.
+		if o == TimedOut {
+			b.setup.add(2 * float64(now-a.sentAt))
+		}
+	}
+	// One failure in two tries is out of line where half the fleet has none.
+	if s.share() > b.alike+0.3 {
+		s.strikes = min(s.strikes+1, 4)
+		wait := Second << (s.strikes - 1)
+		s.shunned = now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
+		s.trial = true
+	}
+}
+
+func (s *server) share() float64 { return s.fails / (s.tries + 1) }
+
+func (b *Balancer) median() float64 {
+	b.shares = b.shares[:0]
+	for _, s := range b.servers {
+		if s.state == Ready {
+			b.shares = append(b.shares, s.share())
+		}
+	}
+	if len(b.shares) == 0 {
+		return 0
+	}
+	sort.Float64s(b.shares)
+	return b.shares[len(b.shares)/2]
+}
+
+// ---- moves
+
+// relieve moves a connection a second off a server whose messages are late.
+func (b *Balancer) relieve(now Micros) {
+	for _, s := range b.servers {
+		if !s.late(now) || s.delay < b.quickest() || len(s.standing) == 0 || b.rng.Intn(4) != 0 {
+			continue
+		}
+		a := s.standing[b.rng.Intn(len(s.standing))]
+		b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
+	}
+}
--- /dev/null
+++ b/logic/types.go
@@ -0,0 +1,148 @@
+package logic
+
+// Micros is a time, or a span of it, in whole microseconds.
+type Micros int64
+
+const (
+	Millisecond Micros = 1000
+	Second      Micros = 1000 * Millisecond
+)
+
+type (
+	AttachmentID uint64
+	ServerID     uint32
+	ProductID    uint8
+	ZoneID       uint16
+	ModelID      uint16
+	CellID       uint16
+	GroupID      uint64
+	ClientKey    uint64
+)
+
+// Repeat says what a second run of a product would do.
+type Repeat uint8
+
+const (
+	Harmless Repeat = iota
+	Stamped
+	OneShot
+)
+
+// Reach is the set of servers that drops the repeats of a stamped product.
+type Reach uint8
+
+const (
+	ReachAll Reach = iota
+	ReachZone
+	ReachCell
+)
+
+// State is what the server list says of a server.
+type State uint8
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Outcome is how a dispatch ended.
+type Outcome uint8
+
+const (
+	OK Outcome = iota
+	Failure
+	Full
+	TimedOut
+	NoConnection
+	Reset
+	Cancelled
+	Moot
+)
+
+// neverRan tells the outcomes that prove that a dispatch had no effect.
+func (o Outcome) neverRan() bool { return o == Full || o == NoConnection || o == Moot }
+
+// Weighing says what a weight in the list stands for.
+type Weighing uint8
+
+const (
+	Unweighed Weighing = iota
+	ByNominalSize
+	ByRoughSize
+	ByLiveShare
+)
+
+// Verdict is what is to be done with an attachment.
+type Verdict uint8
+
+const (
+	Nothing  Verdict = iota
+	Send             // to Answer.Server, for at most Answer.For
+	NotYet           // ask again in Answer.For
+	PushBack         // tell the client that trying again is harmless, in Answer.For if that is not 0
+	GiveUp
+)
+
+// Answer is a verdict with its plain values.
+type Answer struct {
+	Verdict Verdict
+	Server  ServerID
+	For     Micros
+}
+
+// Errand is a periodic piece of work for the host.
+type Errand struct {
+	Task       Task
+	Server     ServerID
+	Attachment AttachmentID
+	Words      string
+}
+
+type Task uint8
+
+const (
+	Subscribe Task = iota
+	AskList
+	Probe
+	Move
+	Log
+)
+
+// Product is one row of the table of products.
+type Product struct {
+	Quoted  Micros // a set-up within this earns the full gain
+	Repeat  Repeat
+	Reach   Reach
+	Memory  Micros // how long a stamp is remembered
+	Message Micros // quoted time of a message on a standing connection
+}
+
+// Attachment is a client's connection. The host keeps it; the fields below the gap are the module's notes.
+type Attachment struct {
+	ID      AttachmentID
+	Product ProductID
+	Group   GroupID
+	Key     ClientKey
+	Hint    float64 // expected load in microseconds of work a second; 0 if none
+	MidFlow bool    // packets of an open connection
+	Came    Micros
+	Limit   Micros // the hard limit
+
+	on       *server // where the dispatch is out or the connection stands
+	sentAt   Micros
+	stands   bool
+	sends    int
+	units    float64 // its load in mean connections, as counted on its server
+	level    float64 // its load as last told, microseconds a second
+	slot     int     // its place among the server's connections
+	ran      *server // the first server on which it may have run
+	ranSince Micros
+	last     ServerID
+}
+
+// Stands tells whether the connection is set up.
+func (a *Attachment) Stands() bool { return a.stands }
+
+// Out tells whether a dispatch is on its way.
+func (a *Attachment) Out() bool { return a.on != nil && !a.stands }
