--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,7 @@
 	servers  []*server // in the order of the list
 	byID     map[ServerID]*server
 	next     int // rotating start of the scan
+	out      int // dispatches out
 	setup    pace
 	unit     pace // load of a connection, microseconds a second
 	rate     float64
@@ -106,8 +107,10 @@
 	groups   map[GroupID]int
 
 	tries, fails float64
-	shunned      Micros // passed over until then
+	shunned      Micros // passed over until then, for its share of failures
 	strikes      int
+	shut         Micros // takes nothing until then, for it has more than it can do
+	sheds        int
 	trial        bool // back on trial: one dispatch at a time
 	delay        Micros
 	delayAt      Micros
@@ -264,11 +267,11 @@
 	switch {
 	case s.state != Ready || !b.mayGo(now, s, a):
 		return -1
-	case !b.warmEnough(now, s, a):
+	case s.late(now), s.shut > now, s.trial && len(s.waiting) > 0, !b.warmEnough(now, s, a):
 		return -1
-	case s.stuck(now), s.shunned > now, s.trial && len(s.waiting) > 0:
+	case s.stuck(now), s.shunned > now:
 		return 2
-	case a.sends > 0 && a.last == s.id, s.late(now):
+	case a.sends > 0 && a.last == s.id:
 		return 1
 	}
 	return 0
@@ -367,19 +370,27 @@
 		return b.never(a)
 	}
 	s := b.holder(now, a)
+	if s == nil && b.crowded() {
+		return Answer{Verdict: NotYet, For: min(holdFor, a.Limit-now-4*Millisecond)}
+	}
 	if s == nil {
 		s = b.pick(now, a)
 	}
 	if s == nil {
 		return Answer{Verdict: NotYet, For: min(holdFor, a.Limit-now-4*Millisecond)}
 	}
-	if a.sends == 0 {
-		b.placed += b.unitsOf(a)
-	}
 	b.put(now, s, a)
 	return Answer{Verdict: Send, Server: s.id, For: b.patience(now, a)}
 }
 
+// crowded guards against a fleet that fails alike, as on a shared store that is slow: more dispatches make it
+// worse, so they go out one at a time until the median share of failures is down again.
+func (b *Balancer) crowded() bool { return b.alike > alikeAbove && b.out > 0 }
+
+// alikeAbove is the median share of failures above which the cause is taken to be common: one in five is far
+// from what a sound fleet shows and still leaves most dispatches standing.
+const alikeAbove = 0.2
+
 // holder returns packets of an open connection to the server that holds it, where this instance knows it.
 func (b *Balancer) holder(now Micros, a *Attachment) *server {
 	if !a.MidFlow || a.sends > 0 {
@@ -419,6 +430,9 @@
 	if p.Repeat == OneShot || a.sends >= b.leave.dispatches {
 		return left
 	}
+	if b.alike > alikeAbove {
+		return left
+	}
 	usual := Micros(b.setup.mean + 4*b.setup.spread)
 	return min(left, max(usual, p.Quoted*2/5))
 }
@@ -460,17 +474,18 @@
 	return b.nextTick - now, b.errands
 }
 
-// wearOff lets old evidence fade: failures over some 7 s, a starting count over some 9 s.
+// wearOff lets old evidence fade: failures over some 3.5 s, a starting count over some 9 s.
 func (b *Balancer) wearOff() {
 	ready := 0
 	for _, s := range b.servers {
-		s.tries *= 0.975
-		s.fails *= 0.975
+		s.tries *= 0.95
+		s.fails *= 0.95
 		s.start *= 0.97
 		if s.state == Ready {
 			ready++
 		}
 	}
+	b.alike = b.median()
 	b.rate += (b.placed*float64(Second)/float64(tick)/float64(max(ready, 1)) - b.rate) / 40
 	b.placed = 0
 }
@@ -482,6 +497,7 @@
 	a.sends++
 	s.units += a.units
 	s.waiting = append(s.waiting, a)
+	b.out++
 	if a.Group != 0 {
 		s.groups[a.Group]++
 	}
@@ -508,7 +524,7 @@
 		s.standing[a.slot].slot = a.slot
 		s.standing = s.standing[:last]
 	} else {
-		s.settle(a)
+		b.settle(s, a)
 	}
 	if len(s.standing)+len(s.waiting) == 0 {
 		s.units = 0
@@ -516,10 +532,11 @@
 	a.on, a.stands = nil, false
 }
 
-func (s *server) settle(a *Attachment) {
+func (b *Balancer) settle(s *server, a *Attachment) {
 	for i, w := range s.waiting {
 		if w == a {
 			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			b.out--
 			return
 		}
 	}
@@ -531,13 +548,15 @@
 	if s == nil || a.stands {
 		return
 	}
-	s.settle(a)
+	b.settle(s, a)
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
+	b.placed += a.units
 	s.tries++
 	if s.trial {
 		s.trial, s.fails = false, s.fails/2
 	}
+	s.sheds = max(s.sheds-1, 0)
 	if b.leave.through {
 		b.holders[a.Key] = s.id
 	}
@@ -555,7 +574,7 @@
 		return
 	}
 	b.put(now, s, a)
-	s.settle(a)
+	b.settle(s, a)
 	b.stand(s, a)
 }
 
@@ -611,11 +630,17 @@
 	s.tries++
 	s.fails++
 	b.alike = b.median()
-	if b.alike > 0.2 {
+	if b.alike > alikeAbove && o == TimedOut {
 		// Guards against a store that slows every set-up: waiting longer, not asking more.
-		if o == TimedOut {
-			b.setup.add(2 * float64(now-a.sentAt))
-		}
+		b.setup.add(2 * float64(now-a.sentAt))
+	}
+	if o == Reset || o == Full {
+		// Guards against a storm: a server that drops its newest has more than it can do, and each of them
+		// comes again at once. It is left alone for 0.5 s, doubling to 8 s, then tried with one at a time.
+		s.sheds = min(s.sheds+1, 5)
+		wait := Second / 4 << s.sheds
+		s.shut = max(s.shut, now+wait/2+Micros(b.rng.Int63n(int64(wait))))
+		s.trial = true
 	}
 	// One failure in two tries is out of line where half the fleet has none.
 	if s.share() > b.alike+0.3 {
