--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,8 @@
 	rate     float64
 	placed   float64
 	holders  map[ClientKey]ServerID
-	alike    float64 // median share of failures
+	loads    map[ClientKey]float64 // of clients that may come again
+	alike    float64               // median share of failures
 	shares   []float64
 	errands  []Errand
 	nextTick Micros
@@ -144,7 +145,7 @@
 	return &Balancer{
 		number: number, peers: max(peers, 1), zone: zone, rng: rand.New(rand.NewSource(seed)),
 		products: products, weighing: weighing, list: list, cold: cold, leave: leave, toll: toll,
-		next: number, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
+		next: number, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{}, loads: map[ClientKey]float64{},
 	}
 }
 
@@ -236,6 +237,9 @@
 // unitsOf is an attachment's load in mean connections.
 func (b *Balancer) unitsOf(a *Attachment) float64 {
 	level := a.level
+	if level == 0 {
+		level = b.loads[a.Key]
+	}
 	if level == 0 {
 		level = a.Hint
 	}
@@ -283,10 +287,11 @@
 	var best *server
 	bestFit, bestCost := 0, 0.0
 	u := b.unitsOf(a)
+	full := b.full(now)
 	for i := range n {
 		s := b.servers[(b.next+i)%n]
 		fit := b.fit(now, s, a)
-		if fit < 0 || (best != nil && fit > bestFit) {
+		if fit < 0 || s.units >= full || (best != nil && fit > bestFit) {
 			continue
 		}
 		cost := b.cost(s, a, u)
@@ -298,6 +303,14 @@
 	return best
 }
 
+// full is the load at which a server takes no more. It guards against a herd: where many servers are shut, the
+// rest would get all that comes and fall in their turn. Above the mean of all ready servers, shut ones
+// included, there is room for half as much again, and for a few connections where counts are small.
+func (b *Balancer) full(now Micros) float64 {
+	mean := b.meanUnits(now, nil)
+	return max(1.5*mean, mean+3)
+}
+
 func (b *Balancer) cost(s *server, a *Attachment, u float64) float64 {
 	c := s.units + s.start + u
 	if a.Group != 0 && s.groups[a.Group] == 0 {
@@ -592,11 +605,26 @@
 	}
 	a.level = level
 	b.unit.add(level)
+	b.remember(a)
 	a.on.units -= a.units
 	a.units = b.unitsOf(a)
 	a.on.units += a.units
 }
 
+// remember keeps a client's load for its return: a moved or dropped connection weighs as much as before.
+func (b *Balancer) remember(a *Attachment) {
+	if a.Key == 0 {
+		return
+	}
+	if len(b.loads) >= manyLoads {
+		clear(b.loads)
+	}
+	b.loads[a.Key] = a.level
+}
+
+// manyLoads bounds the memory of loads; a few dozen bytes each keep it under a megabyte.
+const manyLoads = 10000
+
 // Delay tells how long a message takes at a server now.
 func (b *Balancer) Delay(now Micros, id ServerID, took Micros) {
 	s := b.byID[id]
@@ -669,13 +697,54 @@
 
 // ---- moves
 
-// relieve moves a connection a second off a server whose messages are late.
+// relieve moves connections off a server whose messages are late, some three a second over all proxies, while
+// most of the others are in time.
 func (b *Balancer) relieve(now Micros) {
+	late, ready := 0, 0
+	for _, s := range b.servers {
+		if s.state == Ready {
+			ready++
+			if s.late(now) {
+				late++
+			}
+		}
+	}
+	if late*3 > ready {
+		// Guards against moves that only carry the load around: there is nowhere to go.
+		return
+	}
+	room := b.lightest(now)
 	for _, s := range b.servers {
-		if !s.late(now) || s.delay < b.quickest() || len(s.standing) == 0 || b.rng.Intn(4) != 0 {
+		if room == nil || !s.late(now) || s.delay < b.quickest() || b.rng.Float64()*float64(b.peers) > 0.75 {
 			continue
 		}
-		a := s.standing[b.rng.Intn(len(s.standing))]
-		b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
+		if a := s.heaviest(s.units - room.units); a != nil {
+			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
+		}
+	}
+}
+
+func (b *Balancer) lightest(now Micros) *server {
+	var best *server
+	for _, s := range b.servers {
+		if s.state == Ready && !s.late(now) && s.shut <= now && s.shunned <= now &&
+			(best == nil || s.units < best.units) {
+			best = s
+		}
+	}
+	return best
+}
+
+// heaviest picks the connection whose move helps most without making the next server the fuller one.
+func (s *server) heaviest(below float64) *Attachment {
+	var best *Attachment
+	for _, a := range s.standing {
+		if a.units < below && (best == nil || a.units > best.units) {
+			best = a
+		}
 	}
+	if best == nil && len(s.standing) > 0 && s.delay > Second {
+		best = s.standing[0]
+	}
+	return best
 }
