--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,8 +31,9 @@
 
 	servers  []*server // in the order of the list
 	byID     map[ServerID]*server
-	next     int // rotating start of the scan
-	out      int // dispatches out
+	next     int     // rotating start of the scan
+	out      int     // dispatches out
+	weight   float64 // mean weight of the ready servers
 	setup    pace
 	unit     pace // load of a connection, microseconds a second
 	rate     float64
@@ -145,7 +146,7 @@
 	return &Balancer{
 		number: number, peers: max(peers, 1), zone: zone, rng: rand.New(rand.NewSource(seed)),
 		products: products, weighing: weighing, list: list, cold: cold, leave: leave, toll: toll,
-		next: number, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{}, loads: map[ClientKey]float64{},
+		next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{}, loads: map[ClientKey]float64{},
 	}
 }
 
@@ -176,7 +177,7 @@
 	if state == Ready && (fresh || s.state == Gone) {
 		s.tries, s.fails, s.shunned, s.strikes, s.trial = 0, 0, 0, 0, false
 		// Guards against a newcomer drawing every attachment: it starts at the others' mean.
-		s.start = max(0, b.meanUnits(now, s)-s.units)
+		s.start = max(0, b.meanFill(s)-s.units)
 	}
 	s.zone, s.cell, s.state, s.launched, s.listed = zone, cell, state, launched, true
 	s.weight = 1
@@ -195,6 +196,15 @@
 		}
 	}
 	b.list.whole = false
+	sum, n := 0.0, 0
+	for _, s := range b.servers {
+		if s.state == Ready {
+			sum, n = sum+s.weight, n+1
+		}
+	}
+	if n > 0 {
+		b.weight = sum / float64(n)
+	}
 	if !cached && b.list.asking {
 		b.list.asking, b.list.on, b.list.misses = false, true, 0
 	}
@@ -221,17 +231,29 @@
 
 // ---- the pick
 
-func (b *Balancer) meanUnits(now Micros, but *server) float64 {
+// fill is how full a server is in the own count: load over weight, dearer where a crossing is.
+func (b *Balancer) fill(s *server) float64 { return b.price(s, s.units+s.start) }
+
+func (b *Balancer) price(s *server, units float64) float64 {
+	units /= s.weight / b.weight
+	if s.zone != b.zone {
+		units /= max(0.05, 1-crossingWeight*b.toll.crossing)
+	}
+	return units
+}
+
+// crossingWeight turns the price of a crossing into fullness: at a price of a tenth of the gain the own zone
+// may be nearly twice as full, at a quarter it is left only when it can take no more.
+const crossingWeight = 4
+
+func (b *Balancer) meanFill(but *server) float64 {
 	sum, n := 0.0, 0
 	for _, s := range b.servers {
 		if s != but && s.state == Ready {
-			sum, n = sum+s.units, n+1
+			sum, n = sum+b.fill(s), n+1
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return sum / float64(n)
+	return sum / float64(max(n, 1))
 }
 
 // unitsOf is an attachment's load in mean connections.
@@ -287,11 +309,11 @@
 	var best *server
 	bestFit, bestCost := 0, 0.0
 	u := b.unitsOf(a)
-	full := b.full(now)
+	full := b.full()
 	for i := range n {
 		s := b.servers[(b.next+i)%n]
 		fit := b.fit(now, s, a)
-		if fit < 0 || s.units >= full || (best != nil && fit > bestFit) {
+		if fit < 0 || b.fill(s) >= full || (best != nil && fit > bestFit) {
 			continue
 		}
 		cost := b.cost(s, a, u)
@@ -306,28 +328,19 @@
 // full is the load at which a server takes no more. It guards against a herd: where many servers are shut, the
 // rest would get all that comes and fall in their turn. Above the mean of all ready servers, shut ones
 // included, there is room for half as much again, and for a few connections where counts are small.
-func (b *Balancer) full(now Micros) float64 {
-	mean := b.meanUnits(now, nil)
+func (b *Balancer) full() float64 {
+	mean := b.meanFill(nil)
 	return max(1.5*mean, mean+3)
 }
 
 func (b *Balancer) cost(s *server, a *Attachment, u float64) float64 {
-	c := s.units + s.start + u
+	u += s.units + s.start
 	if a.Group != 0 && s.groups[a.Group] == 0 {
-		c += groupUnits
-	}
-	c /= s.weight
-	if s.zone != b.zone {
-		// A crossing is worth taking only where the own zone is fuller by its price.
-		c *= 1 + crossingWeight*b.toll.crossing
+		u += groupUnits
 	}
-	return c
+	return b.price(s, u)
 }
 
-// crossingWeight turns the price of a crossing into fullness: at a price of a tenth the own zone may be
-// twice as full.
-const crossingWeight = 10
-
 // warmEnough keeps the own part of the budget of a server that has just started.
 func (b *Balancer) warmEnough(now Micros, s *server, a *Attachment) bool {
 	age := now - s.launched
