--- a/logic/logic.go
+++ b/logic/logic.go
@@ -113,7 +113,8 @@
 	strikes      int
 	shut         Micros // takes nothing until then, for it has more than it can do
 	sheds        int
-	trial        bool // back on trial: one dispatch at a time
+	trial        bool    // back on trial: one dispatch at a time
+	pace         float64 // what it is seen to do against its weight; 1 at first
 	delay        Micros
 	delayAt      Micros
 	recent       []sent // sends while cold
@@ -168,7 +169,7 @@
 	launched Micros) {
 	s := b.byID[id]
 	if s == nil {
-		s = &server{id: id, groups: map[GroupID]int{}}
+		s = &server{id: id, groups: map[GroupID]int{}, pace: 1}
 		b.byID[id] = s
 		b.servers = append(b.servers, s)
 		s.state = Gone
@@ -177,7 +178,7 @@
 	if state == Ready && (fresh || s.state == Gone) {
 		s.tries, s.fails, s.shunned, s.strikes, s.trial = 0, 0, 0, 0, false
 		// Guards against a newcomer drawing every attachment: it starts at the others' mean.
-		s.start = max(0, b.meanFill(s)-s.units)
+		s.start = max(0, b.level(s)-s.units)
 	}
 	s.zone, s.cell, s.state, s.launched, s.listed = zone, cell, state, launched, true
 	s.weight = 1
@@ -235,25 +236,32 @@
 func (b *Balancer) fill(s *server) float64 { return b.price(s, s.units+s.start) }
 
 func (b *Balancer) price(s *server, units float64) float64 {
-	units /= s.weight / b.weight
+	return units / b.size(s)
+}
+
+// size is what a server counts for beside the mean: its weight, times its pace as told by late messages, less
+// where a crossing is dear.
+func (b *Balancer) size(s *server) float64 {
+	size := s.weight / b.weight * s.pace
 	if s.zone != b.zone {
-		units /= max(0.05, 1-crossingWeight*b.toll.crossing)
+		size *= max(0.05, 1-crossingWeight*b.toll.crossing)
 	}
-	return units
+	return size
 }
 
 // crossingWeight turns the price of a crossing into fullness: at a price of a tenth of the gain the own zone
 // may be nearly twice as full, at a quarter it is left only when it can take no more.
 const crossingWeight = 4
 
-func (b *Balancer) meanFill(but *server) float64 {
-	sum, n := 0.0, 0
+// level is the fill that all ready servers would have if the own load lay evenly.
+func (b *Balancer) level(but *server) float64 {
+	units, size := 0.0, 0.0
 	for _, s := range b.servers {
 		if s != but && s.state == Ready {
-			sum, n = sum+b.fill(s), n+1
+			units, size = units+s.units+s.start, size+b.size(s)
 		}
 	}
-	return sum / float64(max(n, 1))
+	return units / max(size, 0.01)
 }
 
 // unitsOf is an attachment's load in mean connections.
@@ -329,8 +337,8 @@
 // rest would get all that comes and fall in their turn. Above the mean of all ready servers, shut ones
 // included, there is room for half as much again, and for a few connections where counts are small.
 func (b *Balancer) full() float64 {
-	mean := b.meanFill(nil)
-	return max(1.5*mean, mean+3)
+	level := b.level(nil)
+	return max(1.5*level, level+3)
 }
 
 func (b *Balancer) cost(s *server, a *Attachment, u float64) float64 {
@@ -493,7 +501,7 @@
 	b.errands = b.errands[:0]
 	if now >= b.nextTick {
 		b.nextTick = now + tick
-		b.wearOff()
+		b.wearOff(now)
 		b.followList(now)
 		b.relieve(now)
 	}
@@ -501,12 +509,15 @@
 }
 
 // wearOff lets old evidence fade: failures over some 3.5 s, a starting count over some 9 s.
-func (b *Balancer) wearOff() {
+func (b *Balancer) wearOff(now Micros) {
 	ready := 0
 	for _, s := range b.servers {
 		s.tries *= 0.95
 		s.fails *= 0.95
 		s.start *= 0.97
+		if !s.late(now) {
+			s.pace = min(1, s.pace*1.01)
+		}
 		if s.state == Ready {
 			ready++
 		}
@@ -645,11 +656,18 @@
 		return
 	}
 	s.delay, s.delayAt = 0, now
-	if took >= b.quickest()/3 {
-		s.delay = took
+	if took < b.quickest()/3 {
+		return
 	}
+	s.delay = took
+	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
+	// messages takes 5% off its pace, up to 20% where they are very late; wearOff gives it back.
+	s.pace = max(slowest, s.pace*(1-0.05*min(float64(took)/float64(b.quickest()), 4)))
 }
 
+// slowest bounds the pace from below: a tenth is the worst that on-call staff have seen a server fall to.
+const slowest = 0.1
+
 // quickest is the shortest quoted time of a message.
 func (b *Balancer) quickest() Micros {
 	q := Micros(math.MaxInt64)
@@ -731,7 +749,7 @@
 		if room == nil || !s.late(now) || s.delay < b.quickest() || b.rng.Float64()*float64(b.peers) > 0.75 {
 			continue
 		}
-		if a := s.heaviest(s.units - room.units); a != nil {
+		if a := s.heaviest((b.fill(s) - b.fill(room)) * b.size(room)); a != nil {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
 		}
 	}
@@ -741,7 +759,7 @@
 	var best *server
 	for _, s := range b.servers {
 		if s.state == Ready && !s.late(now) && s.shut <= now && s.shunned <= now &&
-			(best == nil || s.units < best.units) {
+			(best == nil || b.fill(s) < b.fill(best)) {
 			best = s
 		}
 	}
