--- a/logic/logic.go
+++ b/logic/logic.go
@@ -280,9 +280,9 @@
 	return min(max(level/b.unit.mean, 0.1), 10)
 }
 
-// groupUnits is what a server is taken to pay for a group it does not hold yet: one mean connection. The
-// true price is told nowhere.
-const groupUnits = 1.0
+// groupUnits is how many mean connections fuller a server counts that holds none of the group. What a group
+// costs is told nowhere; it is paid for as long as one member stays, so it is taken for several connections.
+const groupUnits = 5.0
 
 // lateAfter is how long a word on late messages holds: they come once a second.
 const lateAfter = 2500 * Millisecond
