--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,6 +13,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 )
 
@@ -40,7 +41,7 @@
 	placed   float64
 	holders  map[ClientKey]ServerID
 	loads    map[ClientKey]float64 // of clients that may come again
-	alike    float64               // median share of failures
+	failing  []ServerID            // servers on which a set-up failed since the last that stood
 	shares   []float64
 	errands  []Errand
 	nextTick Micros
@@ -78,12 +79,12 @@
 type Leave struct {
 	dispatches int
 	probes     bool
-	advice     bool // a push back may say when to come again
-	through    bool // packets pass through: connections outlive their proxy
+	advice     Micros // a push back may ask the client to stay away for up to this
+	through    bool   // packets pass through: connections outlive their proxy
 }
 
 // Permit sets up what the deployment permits.
-func Permit(dispatches int, probes, advice, through bool) Leave {
+func Permit(dispatches int, probes bool, advice Micros, through bool) Leave {
 	return Leave{dispatches: dispatches, probes: probes, advice: advice, through: through}
 }
 
@@ -404,7 +405,7 @@
 		return b.never(a)
 	}
 	s := b.holder(now, a)
-	if s == nil && b.crowded() {
+	if s == nil && b.common() && b.out > 0 {
 		return Answer{Verdict: NotYet, For: min(holdFor, a.Limit-now-4*Millisecond)}
 	}
 	if s == nil {
@@ -417,13 +418,13 @@
 	return Answer{Verdict: Send, Server: s.id, For: b.patience(now, a)}
 }
 
-// crowded guards against a fleet that fails alike, as on a shared store that is slow: more dispatches make it
-// worse, so they go out one at a time until the median share of failures is down again.
-func (b *Balancer) crowded() bool { return b.alike > alikeAbove && b.out > 0 }
+// common tells that set-ups fail for a common cause, as on a shared store that is slow: the last ones failed on
+// several servers with none standing between. More dispatches make that worse, so they go out one at a time
+// and with all the time there is, until one stands.
+func (b *Balancer) common() bool { return len(b.failing) >= commonFrom }
 
-// alikeAbove is the median share of failures above which the cause is taken to be common: one in five is far
-// from what a sound fleet shows and still leaves most dispatches standing.
-const alikeAbove = 0.2
+// commonFrom is the number of servers in a row: one or two are ill by themselves in any fleet.
+const commonFrom = 3
 
 // holder returns packets of an open connection to the server that holds it, where this instance knows it.
 func (b *Balancer) holder(now Micros, a *Attachment) *server {
@@ -448,8 +449,8 @@
 	p := &b.products[a.Product]
 	if a.ran == nil || p.Repeat == Harmless || p.Repeat == Stamped && p.Reach == ReachAll {
 		ans := Answer{Verdict: PushBack}
-		if b.leave.advice {
-			ans.For = Second/2 + Micros(b.rng.Int63n(int64(Second/2)))
+		if half := b.leave.advice / 2; half > 0 {
+			ans.For = half + Micros(b.rng.Int63n(int64(half)))
 		}
 		return ans
 	}
@@ -464,7 +465,7 @@
 	if p.Repeat == OneShot || a.sends >= b.leave.dispatches {
 		return left
 	}
-	if b.alike > alikeAbove {
+	if b.common() {
 		return left
 	}
 	usual := Micros(b.setup.mean + 4*b.setup.spread)
@@ -522,7 +523,6 @@
 			ready++
 		}
 	}
-	b.alike = b.median()
 	b.rate += (b.placed*float64(Second)/float64(tick)/float64(max(ready, 1)) - b.rate) / 40
 	b.placed = 0
 }
@@ -589,6 +589,7 @@
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
 	b.placed += a.units
+	b.failing = b.failing[:0]
 	s.tries++
 	if s.trial {
 		s.trial, s.fails = false, s.fails/2
@@ -688,10 +689,8 @@
 func (b *Balancer) failed(now Micros, s *server, a *Attachment, o Outcome) {
 	s.tries++
 	s.fails++
-	b.alike = b.median()
-	if b.alike > alikeAbove && o == TimedOut {
-		// Guards against a store that slows every set-up: waiting longer, not asking more.
-		b.setup.add(2 * float64(now-a.sentAt))
+	if (o == TimedOut || o == Failure) && !slices.Contains(b.failing, s.id) {
+		b.failing = append(b.failing, s.id)
 	}
 	if o == Reset || o == Full {
 		// Guards against a storm: a server that drops its newest has more than it can do, and each of them
@@ -702,7 +701,7 @@
 		s.trial = true
 	}
 	// One failure in two tries is out of line where half the fleet has none.
-	if s.share() > b.alike+0.3 {
+	if s.share() > b.median()+0.3 {
 		s.strikes = min(s.strikes+1, 4)
 		wait := Second << (s.strikes - 1)
 		s.shunned = now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
