--- a/logic/logic.go
+++ b/logic/logic.go
@@ -178,8 +178,7 @@
 	fresh := launched > s.launched && now-launched < b.cold.warm
 	if state == Ready && (fresh || s.state == Gone) {
 		s.tries, s.fails, s.shunned, s.strikes, s.trial = 0, 0, 0, 0, false
-		// Guards against a newcomer drawing every attachment: it starts at the others' mean.
-		s.start = max(0, b.level(s)-s.units)
+		b.startAtMean(s)
 	}
 	s.zone, s.cell, s.state, s.launched, s.listed = zone, cell, state, launched, true
 	s.weight = 1
@@ -188,6 +187,9 @@
 	}
 }
 
+// startAtMean guards against a newcomer drawing every attachment: it starts at the others' mean.
+func (b *Balancer) startAtMean(s *server) { s.start = max(0, b.level(s)*b.size(s)-s.units) }
+
 // ListDone closes a list or a change and notes that the call was answered.
 func (b *Balancer) ListDone(now Micros, cached bool) {
 	if b.list.whole {
@@ -254,6 +256,16 @@
 // may be nearly twice as full, at a quarter it is left only when it can take no more.
 const crossingWeight = 4
 
+func (b *Balancer) ready() int {
+	n := 0
+	for _, s := range b.servers {
+		if s.state == Ready {
+			n++
+		}
+	}
+	return n
+}
+
 // level is the fill that all ready servers would have if the own load lay evenly.
 func (b *Balancer) level(but *server) float64 {
 	units, size := 0.0, 0.0
@@ -657,8 +669,8 @@
 		return
 	}
 	s.delay, s.delayAt = 0, now
-	if took < b.quickest()/3 {
-		return
+	if took < b.quickest()/2 {
+		return // half the quoted time still lets most messages through
 	}
 	s.delay = took
 	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
@@ -689,7 +701,7 @@
 func (b *Balancer) failed(now Micros, s *server, a *Attachment, o Outcome) {
 	s.tries++
 	s.fails++
-	if (o == TimedOut || o == Failure) && !slices.Contains(b.failing, s.id) {
+	if (o == TimedOut || o == Failure) && s.shunned <= now && !slices.Contains(b.failing, s.id) {
 		b.failing = append(b.failing, s.id)
 	}
 	if o == Reset || o == Full {
@@ -699,6 +711,9 @@
 		wait := Second / 4 << s.sheds
 		s.shut = max(s.shut, now+wait/2+Micros(b.rng.Int63n(int64(wait))))
 		s.trial = true
+		if len(s.standing) == 0 {
+			b.startAtMean(s) // its process may have been lost: no list has told, but it comes back empty
+		}
 	}
 	// One failure in two tries is out of line where half the fleet has none.
 	if s.share() > b.median()+0.3 {
@@ -727,28 +742,35 @@
 
 // ---- moves
 
-// relieve moves connections off a server whose messages are late, some three a second over all proxies, while
-// most of the others are in time.
+// relieve moves connections off a server whose messages miss their quoted time: they earn nothing there. Where
+// more than half of the fleet is as late, only from those that are far too late, and their clients are pushed
+// back until there is room again.
 func (b *Balancer) relieve(now Micros) {
-	late, ready := 0, 0
+	quoted := b.quickest()
+	late := 0
 	for _, s := range b.servers {
-		if s.state == Ready {
-			ready++
-			if s.late(now) {
-				late++
-			}
+		if s.state == Ready && s.late(now) && s.delay >= quoted {
+			late++
 		}
 	}
-	if late*3 > ready {
-		// Guards against moves that only carry the load around: there is nowhere to go.
-		return
-	}
 	room := b.lightest(now)
 	for _, s := range b.servers {
-		if room == nil || !s.late(now) || s.delay < b.quickest() || b.rng.Float64()*float64(b.peers) > 0.75 {
+		if !s.late(now) || s.delay < quoted || len(s.standing) == 0 {
+			continue
+		}
+		below := math.Inf(1)
+		if s.delay < 2*quoted {
+			if room == nil || late*2 > b.ready() {
+				continue
+			}
+			below = (b.fill(s) - b.fill(room)) * b.size(room)
+		}
+		// 4% a second of the own connections where messages are just late, 16% where they take four times as long.
+		share := 0.04 * min(float64(s.delay)/float64(quoted), 4) * float64(tick) / float64(Second)
+		if b.rng.Float64() >= share*float64(len(s.standing)) {
 			continue
 		}
-		if a := s.heaviest((b.fill(s) - b.fill(room)) * b.size(room)); a != nil {
+		if a := s.heaviest(below); a != nil {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
 		}
 	}
@@ -765,16 +787,19 @@
 	return best
 }
 
-// heaviest picks the connection whose move helps most without making the next server the fuller one.
+// heaviest picks the connection whose move helps most, below the load that would make the next server the
+// fuller one. The last of its group takes the group's cost along.
 func (s *server) heaviest(below float64) *Attachment {
 	var best *Attachment
+	most := 0.0
 	for _, a := range s.standing {
-		if a.units < below && (best == nil || a.units > best.units) {
-			best = a
+		gain := a.units
+		if a.Group != 0 && s.groups[a.Group] == 1 {
+			gain++
+		}
+		if a.units < below && gain > most {
+			best, most = a, gain
 		}
-	}
-	if best == nil && len(s.standing) > 0 && s.delay > Second {
-		best = s.standing[0]
 	}
 	return best
 }
