--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,7 +116,6 @@
 	sheds        int
 	trial        bool    // back on trial: one dispatch at a time
 	pace         float64 // what it is seen to do against its weight; 1 at first
-	excess       float64 // load to be moved elsewhere
 	delay        Micros
 	delayAt      Micros
 	recent       []sent // sends while cold
@@ -517,7 +516,7 @@
 		b.nextTick = now + tick
 		b.wearOff(now)
 		b.followList(now)
-		b.relieve()
+		b.relieve(now)
 	}
 	return b.nextTick - now, b.errands
 }
@@ -664,33 +663,19 @@
 const manyLoads = 10000
 
 // Delay tells how long a message takes at a server now.
-//
-// It guards against unlike servers behind equal weights, and against one that slows down: what piles up in a
-// second is the part of its load that is too much, and as proxies see the same delay, each takes that part
-// off its own. A delay that falls again needs no more: work that has piled up takes its time to drain, and
-// moving on until it has would empty one server after the other.
 func (b *Balancer) Delay(now Micros, id ServerID, took Micros) {
 	s := b.byID[id]
 	if s == nil {
 		return
 	}
-	before, since := s.delay, now-s.delayAt
-	s.delay, s.delayAt = took, now
-	quoted := b.quickest()
-	if took < quoted/2 {
-		s.delay = 0 // half the quoted time still lets most messages through
-		return
-	}
-	again := before > 0 && since > 0 && since < lateAfter
-	growth := float64(took) / float64(Second)
-	if again {
-		growth = float64(took-before) / float64(since)
-	}
-	part := max(0, min(growth, 1)) / (1 + max(0, min(growth, 1)))
-	s.pace = max(slowest, s.pace*(1-max(part/2, 0.03)))
-	if again && took >= quoted {
-		s.excess = part * s.units // one late word alone may be a pause
+	s.delay, s.delayAt = 0, now
+	if took < b.quickest()/2 {
+		return // half the quoted time still lets most messages through
 	}
+	s.delay = took
+	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
+	// messages takes 5% off its pace, up to 20% where they are very late; wearOff gives it back.
+	s.pace = max(slowest, s.pace*(1-0.05*min(float64(took)/float64(b.quickest()), 4)))
 }
 
 // slowest bounds the pace from below: a tenth is the worst that on-call staff have seen a server fall to.
@@ -757,24 +742,64 @@
 
 // ---- moves
 
-// relieve moves connections off servers that have more than they can do, the heaviest first that is not more
-// than is to go. The last of its group takes the group's cost along.
-func (b *Balancer) relieve() {
+// relieve moves connections off a server whose messages miss their quoted time: they earn nothing there. Where
+// more than half of the fleet is as late, only from those that are far too late, and their clients are pushed
+// back until there is room again.
+func (b *Balancer) relieve(now Micros) {
+	quoted := b.quickest()
+	late := 0
 	for _, s := range b.servers {
-		for s.excess > 0 {
-			var best *Attachment
-			for _, a := range s.standing {
-				if !a.leaving && a.units <= 1.2*s.excess && (best == nil || a.units > best.units) {
-					best = a
-				}
-			}
-			if best == nil {
-				break
+		if s.state == Ready && s.late(now) && s.delay >= quoted {
+			late++
+		}
+	}
+	room := b.lightest(now)
+	for _, s := range b.servers {
+		if !s.late(now) || s.delay < quoted || len(s.standing) == 0 {
+			continue
+		}
+		below := math.Inf(1)
+		if s.delay < 2*quoted {
+			if room == nil || late*2 > b.ready() {
+				continue
 			}
-			best.leaving = true
-			s.excess -= best.units
-			b.errands = append(b.errands, Errand{Task: Move, Attachment: best.ID})
+			below = (b.fill(s) - b.fill(room)) * b.size(room)
+		}
+		// 4% a second of the own connections where messages are just late, 16% where they take four times as long.
+		share := 0.04 * min(float64(s.delay)/float64(quoted), 4) * float64(tick) / float64(Second)
+		if b.rng.Float64() >= share*float64(len(s.standing)) {
+			continue
+		}
+		if a := s.heaviest(below); a != nil {
+			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
+		}
+	}
+}
+
+func (b *Balancer) lightest(now Micros) *server {
+	var best *server
+	for _, s := range b.servers {
+		if s.state == Ready && !s.late(now) && s.shut <= now && s.shunned <= now &&
+			(best == nil || b.fill(s) < b.fill(best)) {
+			best = s
 		}
-		s.excess = 0
 	}
+	return best
+}
+
+// heaviest picks the connection whose move helps most, below the load that would make the next server the
+// fuller one. The last of its group takes the group's cost along.
+func (s *server) heaviest(below float64) *Attachment {
+	var best *Attachment
+	most := 0.0
+	for _, a := range s.standing {
+		gain := a.units
+		if a.Group != 0 && s.groups[a.Group] == 1 {
+			gain++
+		}
+		if a.units < below && gain > most {
+			best, most = a, gain
+		}
+	}
+	return best
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -132,7 +132,6 @@
 	on       *server // where the dispatch is out or the connection stands
 	sentAt   Micros
 	stands   bool
-	leaving  bool // asked to move
 	sends    int
 	units    float64 // its load in mean connections, as counted on its server
 	level    float64 // its load as last told, microseconds a second
