--- a/internal/wire/opening.go
+++ b/internal/wire/opening.go
@@ -99,20 +99,20 @@
 	if err != nil {
 		return nil, err
 	}
-	f, err := p.numbers("my-number", "group-size", "zone", "invariants.ask-within-ms",
+	f, err := p.numbers("my-number", "zone", "invariants.ask-within-ms",
 		"invariants.start-capacity", "invariants.cold-ms", "invariants.fall-multiple", "invariants.fall-ms",
 		"limits.max-dispatches", "prices.cross-zone", "prices.moves", "limits.max-retry-after-ms")
 	if err != nil {
 		return nil, err
 	}
-	advice := micros(f[11])
+	advice := micros(f[10])
 	if p["limits.retry-after"] != "true" {
 		advice = 0
 	}
-	return logic.New(int64(seed), int(f[0]), int(f[1]), logic.ZoneID(f[2]), products, weighings[p["weight-kind"]],
-		logic.List(p["membership-mode"] == "subscribe", micros(f[3])),
-		logic.Cold(f[4], micros(f[5]), f[6], micros(f[7])),
-		logic.Permit(int(f[8]), p["limits.probes"] == "true", advice,
+	return logic.New(int64(seed), int(f[0]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
+		logic.List(p["membership-mode"] == "subscribe", micros(f[2])),
+		logic.Cold(f[3], micros(f[4]), f[5], micros(f[6])),
+		logic.Permit(int(f[7]), p["limits.probes"] == "true", advice,
 			p["family-info.mode"] == "pass"),
-		logic.Tolls(f[9], f[10])), nil
+		logic.Tolls(f[8], f[9])), nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,8 +19,6 @@
 
 // Balancer is one instance of the decisions.
 type Balancer struct {
-	number   int // own index among the proxies: where the first scan starts
-	peers    int
 	zone     ZoneID
 	rng      *rand.Rand
 	products []Product
@@ -32,7 +30,7 @@
 
 	servers  []*server // in the order of the list
 	byID     map[ServerID]*server
-	next     int     // rotating start of the scan
+	next     int     // rotating start of the scan, at first the own index
 	out      int     // dispatches out
 	weight   float64 // mean weight of the ready servers
 	setup    pace
@@ -45,7 +43,6 @@
 	shares   []float64
 	errands  []Errand
 	nextTick Micros
-	began    bool
 }
 
 // Listing says how the server list is followed.
@@ -118,6 +115,7 @@
 	pace         float64 // what it is seen to do against its weight; 1 at first
 	delay        Micros
 	delayAt      Micros
+	falling      bool
 	recent       []sent // sends while cold
 }
 
@@ -143,12 +141,13 @@
 }
 
 // New starts an instance. Each part brings its own few figures.
-func New(seed int64, number, peers int, zone ZoneID, products []Product, weighing Weighing,
+func New(seed int64, number int, zone ZoneID, products []Product, weighing Weighing,
 	list Listing, cold ColdRule, leave Leave, toll Toll) *Balancer {
 	return &Balancer{
-		number: number, peers: max(peers, 1), zone: zone, rng: rand.New(rand.NewSource(seed)),
+		zone: zone, rng: rand.New(rand.NewSource(seed)),
 		products: products, weighing: weighing, list: list, cold: cold, leave: leave, toll: toll,
-		next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{}, loads: map[ClientKey]float64{},
+		next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
+		loads: map[ClientKey]float64{},
 	}
 }
 
@@ -236,11 +235,7 @@
 // ---- the pick
 
 // fill is how full a server is in the own count: load over weight, dearer where a crossing is.
-func (b *Balancer) fill(s *server) float64 { return b.price(s, s.units+s.start) }
-
-func (b *Balancer) price(s *server, units float64) float64 {
-	return units / b.size(s)
-}
+func (b *Balancer) fill(s *server) float64 { return (s.units + s.start) / b.size(s) }
 
 // size is what a server counts for beside the mean: its weight, times its pace as told by late messages, less
 // where a crossing is dear.
@@ -359,7 +354,7 @@
 	if a.Group != 0 && s.groups[a.Group] == 0 {
 		u += groupUnits
 	}
-	return b.price(s, u)
+	return u / b.size(s)
 }
 
 // warmEnough keeps the own part of the budget of a server that has just started.
@@ -417,10 +412,7 @@
 		return b.never(a)
 	}
 	s := b.holder(now, a)
-	if s == nil && b.common() && b.out > 0 {
-		return Answer{Verdict: NotYet, For: min(holdFor, a.Limit-now-4*Millisecond)}
-	}
-	if s == nil {
+	if s == nil && !(b.common() && b.out > 0) {
 		s = b.pick(now, a)
 	}
 	if s == nil {
@@ -668,11 +660,12 @@
 	if s == nil {
 		return
 	}
+	before := s.delay
 	s.delay, s.delayAt = 0, now
 	if took < b.quickest()/2 {
 		return // half the quoted time still lets most messages through
 	}
-	s.delay = took
+	s.delay, s.falling = took, took < before
 	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
 	// messages takes 5% off its pace, up to 20% where they are very late; wearOff gives it back.
 	s.pace = max(slowest, s.pace*(1-0.05*min(float64(took)/float64(b.quickest()), 4)))
@@ -755,7 +748,7 @@
 	}
 	room := b.lightest(now)
 	for _, s := range b.servers {
-		if !s.late(now) || s.delay < quoted || len(s.standing) == 0 {
+		if !s.late(now) || s.falling || s.delay < quoted || len(s.standing) == 0 {
 			continue
 		}
 		below := math.Inf(1)
