--- a/logic/logic.go
+++ b/logic/logic.go
@@ -290,7 +290,7 @@
 
 // groupUnits is how many mean connections fuller a server counts that holds none of the group. What a group
 // costs is told nowhere; it is paid for as long as one member stays, so it is taken for several connections.
-const groupUnits = 5.0
+const groupUnits = 10.0
 
 // lateAfter is how long a word on late messages holds: they come once a second.
 const lateAfter = 2500 * Millisecond
@@ -521,7 +521,7 @@
 		s.fails *= 0.95
 		s.start *= 0.97
 		if !s.late(now) {
-			s.pace = min(1, s.pace*1.01)
+			s.pace = min(1, s.pace*1.005)
 		}
 		if s.state == Ready {
 			ready++
@@ -662,8 +662,8 @@
 	}
 	before := s.delay
 	s.delay, s.delayAt = 0, now
-	if took < b.quickest()/2 {
-		return // half the quoted time still lets most messages through
+	if took < b.quickest()/3 {
+		return // a third of the quoted time is the lateness that is told of
 	}
 	s.delay, s.falling = took, took < before
 	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
