While a quarter of the fleet is late, attachments that earn little for their load are pushed back

Cause of the collapse on all three incidents: a few heavy connections bring most of the load, and let in again at once they tip one server after the other. Told from too many arrivals by trying a limit of newcomers a server: it helped only where it kept the heaviest out.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,9 +19,7 @@
 	PushBack(logic.AttachmentID, logic.Micros)
 	GiveUp(logic.AttachmentID)
 	Move(logic.AttachmentID)
-	Probe(logic.ServerID)
 	Subscribe()
-	AskList()
 	Remind(at logic.Micros)
 	Log(words string)
 }
@@ -169,10 +167,6 @@
 	switch e.Task {
 	case logic.Subscribe:
 		line.Subscribe()
-	case logic.AskList:
-		line.AskList()
-	case logic.Probe:
-		line.Probe(e.Server)
 	case logic.Move:
 		line.Move(e.Attachment)
 	case logic.Log:
--- a/internal/wire/opening.go
+++ b/internal/wire/opening.go
@@ -55,7 +55,9 @@
 }
 
 var (
-	repeats   = map[string]logic.Repeat{"repeatable": logic.Harmless, "by_key": logic.Stamped, "once": logic.OneShot}
+	repeats = map[string]logic.Repeat{
+		"repeatable": logic.Harmless, "by_key": logic.Stamped, "once": logic.OneShot,
+	}
 	reaches   = map[string]logic.Reach{"all": logic.ReachAll, "zone": logic.ReachZone, "cell": logic.ReachCell}
 	weighings = map[string]logic.Weighing{
 		"nominal": logic.ByNominalSize, "rough": logic.ByRoughSize, "live": logic.ByLiveShare,
@@ -71,11 +73,12 @@
 	products := make([]logic.Product, int(count))
 	for i := range products {
 		at := "products." + strconv.Itoa(i) + "."
-		f, err := p.numbers(at+"quoted-time-ms", at+"window-ms")
+		f, err := p.numbers(at+"quoted-time-ms", at+"window-ms", at+"gain")
 		if err != nil {
 			return nil, err
 		}
-		products[i] = logic.Product{Quoted: micros(f[0]), Memory: micros(f[1]), Reach: reaches[p[at+"group"]]}
+		products[i] = logic.Product{Quoted: micros(f[0]), Memory: micros(f[1]), Reach: reaches[p[at+"group"]],
+			Gain: f[2], ByWork: p["gain-by"] == "work"}
 		repeat, known := repeats[p[at+"idempotency"]]
 		if !known {
 			repeat = logic.OneShot // the strictest kind, should a new word ever come
@@ -101,18 +104,15 @@
 	}
 	f, err := p.numbers("my-number", "zone", "invariants.ask-within-ms",
 		"invariants.start-capacity", "invariants.cold-ms", "invariants.fall-multiple", "invariants.fall-ms",
-		"limits.max-dispatches", "prices.cross-zone", "prices.moves", "limits.max-retry-after-ms")
+		"limits.max-dispatches", "prices.cross-zone", "limits.max-retry-after-ms")
 	if err != nil {
 		return nil, err
 	}
-	advice := micros(f[10])
-	if p["limits.retry-after"] != "true" {
-		advice = 0
+	leave := logic.Leave{Dispatches: int(f[7]), Through: p["family-info.mode"] == "pass"}
+	if p["limits.retry-after"] == "true" {
+		leave.Advice = micros(f[9])
 	}
 	return logic.New(int64(seed), int(f[0]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
-		logic.List(p["membership-mode"] == "subscribe", micros(f[2])),
-		logic.Cold(f[3], micros(f[4]), f[5], micros(f[6])),
-		logic.Permit(int(f[7]), p["limits.probes"] == "true", advice,
-			p["family-info.mode"] == "pass"),
-		logic.Tolls(f[8], f[9])), nil
+		logic.Listing{Subscribe: p["membership-mode"] == "subscribe", Within: micros(f[2])},
+		logic.ColdRule{Start: f[3], Warm: micros(f[4]), Multiple: f[5], Window: micros(f[6])}, leave, f[8]), nil
 }
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -88,17 +88,9 @@
 // Move ends an open connection politely.
 func (r *Reply) Move(id logic.AttachmentID) { binary.BigEndian.PutUint64(r.record(77), uint64(id)) }
 
-// Probe tests a server.
-func (r *Reply) Probe(server logic.ServerID) {
-	binary.BigEndian.PutUint32(r.record(67), uint32(server))
-}
-
 // Subscribe asks to be told of changes to the list.
 func (r *Reply) Subscribe() { r.record(72)[0] = 1 }
 
-// AskList asks for the whole list.
-func (r *Reply) AskList() { r.record(68) }
-
 // Remind asks for a reminder. The label tells nothing: a reminder only wakes the instance.
 func (r *Reply) Remind(at logic.Micros) { putMillis(r.record(69), at) }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,7 +23,8 @@
 )
 
 var outcomes = [...]logic.Outcome{
-	logic.Failure, logic.OK, logic.Full, logic.TimedOut, logic.NoConnection, logic.Reset, logic.Cancelled, logic.Moot,
+	logic.Failure, logic.OK, logic.Full, logic.TimedOut,
+	logic.NoConnection, logic.Reset, logic.Cancelled, logic.Moot,
 }
 
 var states = [...]logic.State{1: logic.Gone, 2: logic.Ready, 3: logic.Draining}
@@ -177,7 +178,7 @@
 func (d *desk) told(f frame, at field, code byte) error {
 	in, now := d.instance, f.now
 	switch code {
-	case 2, 5: // a peer's message means nothing here, and a reminder only wakes
+	case 2, 5, 12: // nothing is asked of peers or by probes, and a reminder only wakes
 	case 3:
 		o, err := at.outcome(15)
 		if err != nil {
@@ -204,16 +205,6 @@
 		} else if at[14] == 2 {
 			in.Delay(now, at.server(10), micros(level))
 		}
-	case 12:
-		o, err := at.outcome(5)
-		if err != nil {
-			return err
-		}
-		report, err := at.report(15)
-		if err != nil {
-			return err
-		}
-		in.Probed(now, at.server(1), o, report)
 	case 13:
 		a := at.newAttachment(now, at[9], 10, 28, 38)
 		a.Key, a.Group = logic.ClientKey(at.u64(20)), logic.GroupID(at.u64(30))
@@ -294,18 +285,6 @@
 	return outcomes[code], nil
 }
 
-func (r field) report(at int) ([]float64, error) {
-	n := int(r[at])
-	if n > 4 {
-		return nil, fmt.Errorf("a load report of %d values", n)
-	}
-	values := make([]float64, n)
-	for i := range values {
-		values[i] = float64(math.Float32frombits(r.u32(at + 1 + 4*i)))
-	}
-	return values, nil
-}
-
 // newAttachment reads what arrivals and carried connections share.
 func (r field) newAttachment(now logic.Micros, product byte, left, bits, hint int) *logic.Attachment {
 	a := &logic.Attachment{ID: r.attachment(1), Product: logic.ProductID(product), Came: now}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,7 +6,7 @@
 //	After(now, attachment, outcome)     what to do after this outcome
 //	Wait(now)                           how long to wait, with the errands due now
 //
-// Facts are told by calls that answer nothing: Listed and its kin, Stands, Load, Delay, Probed, Left, Carried.
+// Facts are told by calls that answer nothing: Listed and its kin, Stands, Load, Delay, Left, Carried.
 // The plain values that go in and out stand in types.go. An instance shares nothing with any other.
 package logic
 
@@ -23,9 +23,10 @@
 	rng      *rand.Rand
 	products []Product
 	list     Listing
+	follow   following
 	cold     ColdRule
 	leave    Leave
-	toll     Toll
+	crossing float64 // the price of a crossing, in parts of an attachment's gain
 	weighing Weighing
 
 	servers  []*server // in the order of the list
@@ -34,7 +35,9 @@
 	out      int     // dispatches out
 	weight   float64 // mean weight of the ready servers
 	setup    pace
-	unit     pace // load of a connection, microseconds a second
+	unit     pace    // load of a connection, microseconds a second
+	crowd    float64 // share of the ready servers that are late or shut, at most; wearing off
+	worth    float64 // mean gain of a unit of load
 	rate     float64
 	placed   float64
 	holders  map[ClientKey]ServerID
@@ -45,52 +48,13 @@
 	nextTick Micros
 }
 
-// Listing says how the server list is followed.
-type Listing struct {
-	subscribe bool
-	within    Micros // an instance must ask this often to be spared from being deemed informed
-	asking    bool
-	on        bool
-	askAt     Micros
-	misses    int
-	whole     bool
+// following is the state of the calls for the list.
+type following struct {
+	whole, asking, on bool // a whole list is being told; a call is out; the subscription stands
+	askAt             Micros
+	misses            int
 }
 
-// List sets up the following of the list; within is the span after which silence counts as being informed.
-func List(subscribe bool, within Micros) Listing {
-	return Listing{subscribe: subscribe, within: within}
-}
-
-// ColdRule is the rule on servers that have just started.
-type ColdRule struct {
-	start, multiple float64
-	warm, window    Micros
-}
-
-// Cold sets up the rule: capacity at the start, warm after, falls over above multiple for window.
-func Cold(start float64, warm Micros, multiple float64, window Micros) ColdRule {
-	return ColdRule{start: start, warm: warm, multiple: multiple, window: window}
-}
-
-// Leave is what the deployment permits.
-type Leave struct {
-	dispatches int
-	probes     bool
-	advice     Micros // a push back may ask the client to stay away for up to this
-	through    bool   // packets pass through: connections outlive their proxy
-}
-
-// Permit sets up what the deployment permits.
-func Permit(dispatches int, probes bool, advice Micros, through bool) Leave {
-	return Leave{dispatches: dispatches, probes: probes, advice: advice, through: through}
-}
-
-// Toll is what acts beside a dispatch cost, in parts of an attachment's gain.
-type Toll struct{ crossing, move float64 }
-
-// Tolls sets up the prices.
-func Tolls(crossing, move float64) Toll { return Toll{crossing: crossing, move: move} }
-
 type server struct {
 	id       ServerID
 	zone     ZoneID
@@ -142,10 +106,10 @@
 
 // New starts an instance. Each part brings its own few figures.
 func New(seed int64, number int, zone ZoneID, products []Product, weighing Weighing,
-	list Listing, cold ColdRule, leave Leave, toll Toll) *Balancer {
+	list Listing, cold ColdRule, leave Leave, crossing float64) *Balancer {
 	return &Balancer{
 		zone: zone, rng: rand.New(rand.NewSource(seed)),
-		products: products, weighing: weighing, list: list, cold: cold, leave: leave, toll: toll,
+		products: products, weighing: weighing, list: list, cold: cold, leave: leave, crossing: crossing,
 		next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
 		loads: map[ClientKey]float64{},
 	}
@@ -158,7 +122,7 @@
 
 // ListWhole announces a complete list: what is not named before ListDone is gone.
 func (b *Balancer) ListWhole(now Micros) {
-	b.list.whole = true
+	b.follow.whole = true
 	for _, s := range b.servers {
 		s.listed = false
 	}
@@ -174,7 +138,7 @@
 		b.servers = append(b.servers, s)
 		s.state = Gone
 	}
-	fresh := launched > s.launched && now-launched < b.cold.warm
+	fresh := launched > s.launched && now-launched < b.cold.Warm
 	if state == Ready && (fresh || s.state == Gone) {
 		s.tries, s.fails, s.shunned, s.strikes, s.trial = 0, 0, 0, 0, false
 		b.startAtMean(s)
@@ -191,14 +155,14 @@
 
 // ListDone closes a list or a change and notes that the call was answered.
 func (b *Balancer) ListDone(now Micros, cached bool) {
-	if b.list.whole {
+	if b.follow.whole {
 		for _, s := range b.servers {
 			if !s.listed {
 				s.state = Gone
 			}
 		}
 	}
-	b.list.whole = false
+	b.follow.whole = false
 	sum, n := 0.0, 0
 	for _, s := range b.servers {
 		if s.state == Ready {
@@ -208,27 +172,27 @@
 	if n > 0 {
 		b.weight = sum / float64(n)
 	}
-	if !cached && b.list.asking {
-		b.list.asking, b.list.on, b.list.misses = false, true, 0
+	if !cached && b.follow.asking {
+		b.follow.asking, b.follow.on, b.follow.misses = false, true, 0
 	}
 }
 
 // ListFailed tells that a call failed or the subscription broke. Calls are spaced and seeded, so that
 // proxies that lost the list together do not come back together.
 func (b *Balancer) ListFailed(now Micros) {
-	b.list.asking, b.list.on = false, false
-	b.list.misses++
+	b.follow.asking, b.follow.on = false, false
+	b.follow.misses++
 	// 1 s at first, doubling to at most a third of the span within which the list must be asked.
-	wait := min(Second<<min(b.list.misses-1, 4), max(Second, b.list.within/3))
-	b.list.askAt = now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
+	wait := min(Second<<min(b.follow.misses-1, 4), max(Second, b.list.Within/3))
+	b.follow.askAt = now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
 }
 
 func (b *Balancer) followList(now Micros) {
-	if !b.list.subscribe || b.list.on || now < b.list.askAt {
+	if !b.list.Subscribe || b.follow.on || now < b.follow.askAt {
 		return
 	}
-	b.list.asking = true
-	b.list.askAt = now + max(Second, b.list.within/3) // a call that is never answered is made again
+	b.follow.asking = true
+	b.follow.askAt = now + max(Second, b.list.Within/3) // a call that is never answered is made again
 	b.errands = append(b.errands, Errand{Task: Subscribe})
 }
 
@@ -242,7 +206,7 @@
 func (b *Balancer) size(s *server) float64 {
 	size := s.weight / b.weight * s.pace
 	if s.zone != b.zone {
-		size *= max(0.05, 1-crossingWeight*b.toll.crossing)
+		size *= max(0.05, 1-crossingWeight*b.crossing)
 	}
 	return size
 }
@@ -341,9 +305,9 @@
 	return best
 }
 
-// full is the load at which a server takes no more. It guards against a herd: where many servers are shut, the
-// rest would get all that comes and fall in their turn. Above the mean of all ready servers, shut ones
-// included, there is room for half as much again, and for a few connections where counts are small.
+// full is the fill at which a server takes no more. It guards against a herd: where many servers are shut,
+// the rest would get all and fall in their turn. Above the level of all ready servers, shut ones included,
+// there is room for half as much again, and for a few connections where counts are small.
 func (b *Balancer) full() float64 {
 	level := b.level(nil)
 	return max(1.5*level, level+3)
@@ -360,20 +324,20 @@
 // warmEnough keeps the own part of the budget of a server that has just started.
 func (b *Balancer) warmEnough(now Micros, s *server, a *Attachment) bool {
 	age := now - s.launched
-	if s.launched == 0 || age >= b.cold.warm {
+	if s.launched == 0 || age >= b.cold.Warm {
 		return true
 	}
 	spent := 0.0
-	for len(s.recent) > 0 && now-s.recent[0].at > b.cold.window {
+	for len(s.recent) > 0 && now-s.recent[0].at > b.cold.Window {
 		s.recent = s.recent[1:]
 	}
 	for _, r := range s.recent {
 		spent += r.units
 	}
-	share := b.cold.start + (1-b.cold.start)*float64(age)/float64(b.cold.warm)
+	share := b.cold.Start + (1-b.cold.Start)*float64(age)/float64(b.cold.Warm)
 	// A warm server bears at least what each is sent on average, so that rate stands for its capacity.
 	// Half of it is left unused against chance and against heavy attachments.
-	budget := 0.5 * b.cold.multiple * share * b.rate * float64(b.cold.window) / float64(Second)
+	budget := 0.5 * b.cold.Multiple * share * b.rate * float64(b.cold.Window) / float64(Second)
 	return spent+b.unitsOf(a) <= max(budget, 1)
 }
 
@@ -408,7 +372,8 @@
 		return Answer{}
 	}
 	// The last tick before the hard limit is kept for the final answer.
-	if a.sends >= b.leave.dispatches || now+5*Millisecond >= a.Limit || !b.mayRepeat(now, a) {
+	late := now+5*Millisecond >= a.Limit
+	if late || a.sends >= b.leave.Dispatches || !b.mayRepeat(now, a) || b.barred(a) {
 		return b.never(a)
 	}
 	s := b.holder(now, a)
@@ -422,9 +387,52 @@
 	return Answer{Verdict: Send, Server: s.id, For: b.patience(now, a)}
 }
 
-// common tells that set-ups fail for a common cause, as on a shared store that is slow: the last ones failed on
-// several servers with none standing between. More dispatches make that worse, so they go out one at a time
-// and with all the time there is, until one stands.
+// worthOf is the gain that a unit of an attachment's load earns.
+func (b *Balancer) worthOf(a *Attachment, units float64) float64 {
+	p := &b.products[a.Product]
+	if p.ByWork {
+		return p.Gain
+	}
+	return p.Gain / units
+}
+
+// barred guards against a fleet that serves nobody because it has let everybody in: while many servers are
+// late or shut, an attachment is pushed back that earns much less for its load than those that stand.
+func (b *Balancer) barred(a *Attachment) bool {
+	return b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < poorBelow*b.worth
+}
+
+// crowdedFrom: a quarter of the servers in trouble is more than single servers that are ill.
+const crowdedFrom = 0.25
+
+// poorBelow: half of the mean bars the few that bring most of the load and lets all others in.
+const poorBelow = 0.5
+
+// measure finds how crowded the fleet is, and what a unit of load earns.
+func (b *Balancer) measure(now Micros) {
+	troubled, ready := 0.0, 0.0
+	gain, units := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.state == Ready {
+			ready++
+			if s.late(now) || s.shut > now {
+				troubled++
+			}
+		}
+		for _, a := range s.standing {
+			gain += a.units * b.worthOf(a, a.units)
+			units += a.units
+		}
+	}
+	b.crowd = max(troubled/max(ready, 1), b.crowd*0.98)
+	if units > 0 {
+		b.worth = gain / units
+	}
+}
+
+// common tells that set-ups fail for a common cause, as on a shared store that is slow: the last ones failed
+// on several servers with none standing between. More dispatches make that worse, so they go out one at a
+// time and with all the time there is, until one stands.
 func (b *Balancer) common() bool { return len(b.failing) >= commonFrom }
 
 // commonFrom is the number of servers in a row: one or two are ill by themselves in any fleet.
@@ -453,7 +461,7 @@
 	p := &b.products[a.Product]
 	if a.ran == nil || p.Repeat == Harmless || p.Repeat == Stamped && p.Reach == ReachAll {
 		ans := Answer{Verdict: PushBack}
-		if half := b.leave.advice / 2; half > 0 {
+		if half := b.leave.Advice / 2; half > 0 {
 			ans.For = half + Micros(b.rng.Int63n(int64(half)))
 		}
 		return ans
@@ -466,7 +474,7 @@
 func (b *Balancer) patience(now Micros, a *Attachment) Micros {
 	p := &b.products[a.Product]
 	left := a.Limit - now
-	if p.Repeat == OneShot || a.sends >= b.leave.dispatches {
+	if p.Repeat == OneShot || a.sends >= b.leave.Dispatches {
 		return left
 	}
 	if b.common() {
@@ -490,7 +498,7 @@
 		a.ran, a.ranSince = s, a.sentAt
 	}
 	if over || stood {
-		if b.leave.through && o != Cancelled {
+		if b.leave.Through && o != Cancelled {
 			delete(b.holders, a.Key)
 		}
 		return Answer{}
@@ -508,6 +516,7 @@
 		b.nextTick = now + tick
 		b.wearOff(now)
 		b.followList(now)
+		b.measure(now)
 		b.relieve(now)
 	}
 	return b.nextTick - now, b.errands
@@ -542,7 +551,7 @@
 	if a.Group != 0 {
 		s.groups[a.Group]++
 	}
-	if s.launched != 0 && now-s.launched < b.cold.warm {
+	if s.launched != 0 && now-s.launched < b.cold.Warm {
 		s.recent = append(s.recent, sent{now, a.units})
 	}
 }
@@ -599,7 +608,7 @@
 		s.trial, s.fails = false, s.fails/2
 	}
 	s.sheds = max(s.sheds-1, 0)
-	if b.leave.through {
+	if b.leave.Through {
 		b.holders[a.Key] = s.id
 	}
 }
@@ -685,9 +694,6 @@
 	return q
 }
 
-// Probed tells a probe's result.
-func (b *Balancer) Probed(now Micros, id ServerID, o Outcome, report []float64) {}
-
 // ---- judging
 
 // failed books a failure and passes over a server whose share of failures is far above the median.
@@ -735,9 +741,9 @@
 
 // ---- moves
 
-// relieve moves connections off a server whose messages miss their quoted time: they earn nothing there. Where
-// more than half of the fleet is as late, only from those that are far too late, and their clients are pushed
-// back until there is room again.
+// relieve moves connections off servers whose messages miss their quoted time: they earn nothing there. Where
+// half of the fleet is as late there may be nowhere to go, so only those go that are far too late. A delay that
+// falls needs no more: what has piled up takes its time to drain.
 func (b *Balancer) relieve(now Micros) {
 	quoted := b.quickest()
 	late := 0
@@ -746,52 +752,30 @@
 			late++
 		}
 	}
-	room := b.lightest(now)
 	for _, s := range b.servers {
-		if !s.late(now) || s.falling || s.delay < quoted || len(s.standing) == 0 {
+		if !s.late(now) || s.falling || s.delay < quoted || s.delay < 2*quoted && late*2 > b.ready() {
 			continue
 		}
-		below := math.Inf(1)
-		if s.delay < 2*quoted {
-			if room == nil || late*2 > b.ready() {
-				continue
-			}
-			below = (b.fill(s) - b.fill(room)) * b.size(room)
-		}
-		// 4% a second of the own connections where messages are just late, 16% where they take four times as long.
+		// 4% a second of the own connections where messages are just late, 16% where they take four times as
+		// long: half of it left slow servers full, twice as much swung the load to and fro.
 		share := 0.04 * min(float64(s.delay)/float64(quoted), 4) * float64(tick) / float64(Second)
-		if b.rng.Float64() >= share*float64(len(s.standing)) {
-			continue
-		}
-		if a := s.heaviest(below); a != nil {
+		if a := s.heaviest(); a != nil && b.rng.Float64() < share*float64(len(s.standing)) {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
 		}
 	}
 }
 
-func (b *Balancer) lightest(now Micros) *server {
-	var best *server
-	for _, s := range b.servers {
-		if s.state == Ready && !s.late(now) && s.shut <= now && s.shunned <= now &&
-			(best == nil || b.fill(s) < b.fill(best)) {
-			best = s
-		}
-	}
-	return best
-}
-
-// heaviest picks the connection whose move helps most, below the load that would make the next server the
-// fuller one. The last of its group takes the group's cost along.
-func (s *server) heaviest(below float64) *Attachment {
+// heaviest picks the connection whose move helps most. The last of its group takes the group's cost along.
+func (s *server) heaviest() *Attachment {
 	var best *Attachment
 	most := 0.0
 	for _, a := range s.standing {
-		gain := a.units
+		weight := a.units
 		if a.Group != 0 && s.groups[a.Group] == 1 {
-			gain++
+			weight++
 		}
-		if a.units < below && gain > most {
-			best, most = a, gain
+		if weight > most {
+			best, most = a, weight
 		}
 	}
 	return best
--- a/logic/types.go
+++ b/logic/types.go
@@ -73,6 +73,26 @@
 	ByLiveShare
 )
 
+// Listing says how the server list is followed. Silence for the span Within counts as being informed.
+type Listing struct {
+	Subscribe bool
+	Within    Micros
+}
+
+// ColdRule is the rule on servers that have just started: their capacity then, as a share, when they are
+// warm, and that they fall over where sent more than Multiple times what they can do for the span Window.
+type ColdRule struct {
+	Start, Multiple float64
+	Warm, Window    Micros
+}
+
+// Leave is what the deployment permits.
+type Leave struct {
+	Dispatches int
+	Advice     Micros // a push back may ask the client to stay away for up to this
+	Through    bool   // packets pass through: connections outlive their proxy
+}
+
 // Verdict is what is to be done with an attachment.
 type Verdict uint8
 
@@ -94,7 +114,6 @@
 // Errand is a periodic piece of work for the host.
 type Errand struct {
 	Task       Task
-	Server     ServerID
 	Attachment AttachmentID
 	Words      string
 }
@@ -103,8 +122,6 @@
 
 const (
 	Subscribe Task = iota
-	AskList
-	Probe
 	Move
 	Log
 )
@@ -116,6 +133,8 @@
 	Reach   Reach
 	Memory  Micros // how long a stamp is remembered
 	Message Micros // quoted time of a message on a standing connection
+	Gain    float64
+	ByWork  bool // the gain is for each unit of load, not for each attachment
 }
 
 // Attachment is a client's connection. The host keeps it; the fields below the gap are the module's notes.
