--- a/logic/logic.go
+++ b/logic/logic.go
@@ -742,8 +742,8 @@
 // ---- moves
 
 // relieve moves connections off servers whose messages miss their quoted time: they earn nothing there. Where
-// half of the fleet is as late there may be nowhere to go, so only those go that are far too late. A delay that
-// falls needs no more: what has piled up takes its time to drain.
+// half of the fleet is as late there may be nowhere to go, so only those go that are far too late. A delay
+// that falls needs no more: what has piled up takes its time to drain.
 func (b *Balancer) relieve(now Micros) {
 	quoted := b.quickest()
 	late := 0
