--- a/logic/logic.go
+++ b/logic/logic.go
@@ -424,7 +424,7 @@
 			units += a.units
 		}
 	}
-	b.crowd = max(troubled/max(ready, 1), b.crowd*0.98)
+	b.crowd = max(troubled/max(ready, 1), b.crowd*0.92)
 	if units > 0 {
 		b.worth = gain / units
 	}
