--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,123 @@
+package wire_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/wire"
+)
+
+const opening = `my-number=0
+zone=0
+weight-kind=nominal
+membership-mode=automatic
+limits.max-dispatches=3
+products.count=1
+products.0.gain=1
+products.0.idempotency=repeatable
+products.0.quoted-time-ms=300
+family-info.message-aim-ms=100.0
+a-key-of-later-days=1
+`
+
+// frame builds one batch of records; each is cut or filled to the size of an event.
+func frame(batch uint32, clock float64, tail string, records ...[]byte) []byte {
+	var b []byte
+	b = binary.BigEndian.AppendUint32(b, uint32(len(records)))
+	b = binary.BigEndian.AppendUint32(b, uint32(20+56*len(records)+len(tail)))
+	b = binary.BigEndian.AppendUint64(b, math.Float64bits(clock))
+	b = binary.BigEndian.AppendUint32(b, batch)
+	for _, r := range records {
+		b = append(b, append(r, make([]byte, 56-len(r))...)...)
+	}
+	return append(b, tail...)
+}
+
+func rec(code byte, fields ...any) []byte {
+	b := bytes.NewBuffer([]byte{code})
+	for _, f := range fields {
+		_ = binary.Write(b, binary.BigEndian, f) // a buffer takes all
+	}
+	return b.Bytes()
+}
+
+// entry is one ready server of the list.
+func entry(id uint32) string {
+	return string(rec(0, id, uint16(0), uint16(0), uint16(0), byte(2), float32(1), float64(0))[1:])
+}
+
+// start opens instance 4 with two servers and lets one attachment arrive there.
+func start() []byte {
+	tail := opening + entry(8) + entry(9)
+	at := uint32(len(opening))
+	return frame(1, 1000, tail, rec(1, uint32(4)),
+		rec(11, uint64(7), uint32(0), at),
+		rec(6, byte(1), uint32(0), at, uint32(2)),
+		rec(13, uint64(77), byte(0), float64(2000)))
+}
+
+func serve(in []byte) ([]byte, error) {
+	var out bytes.Buffer
+	err := wire.Serve(bytes.NewReader(in), &out)
+	return out.Bytes(), err
+}
+
+// actions lists the codes of the first reply.
+func actions(reply []byte) []byte {
+	var codes []byte
+	for i := range binary.BigEndian.Uint32(reply[4:]) {
+		codes = append(codes, reply[12+24*i])
+	}
+	return codes
+}
+
+func TestAnArrivalIsHandedOff(t *testing.T) {
+	out, err := serve(start())
+	require.NoError(t, err)
+	require.Equal(t, uint32(len(out)), binary.BigEndian.Uint32(out))
+	require.Equal(t, []byte{65, 71, 69}, actions(out), "speaking, hand_off, schedule")
+	require.Equal(t, uint64(77), binary.BigEndian.Uint64(out[12+24+1:]))
+	require.Contains(t, []uint32{8, 9}, binary.BigEndian.Uint32(out[12+24+17:]))
+}
+
+func TestAnEmptyBatchGetsAnEmptyReply(t *testing.T) {
+	out, err := serve(frame(5, 1, ""))
+	require.NoError(t, err)
+	require.Equal(t, []byte{0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 5}, out)
+}
+
+func TestAnInstanceMayDieAndOpenInOneBatch(t *testing.T) {
+	again := frame(2, 1002, opening, rec(1, uint32(4)), rec(8), rec(11, uint64(8), uint32(0), uint32(len(opening))),
+		rec(3, uint64(77), byte(0), byte(0), uint32(8), uint16(1)))
+	_, err := serve(append(start(), again...))
+	require.NoError(t, err, "what is told of a dropped attachment is ignored")
+}
+
+func TestGarbageIsRefusedInPlainWords(t *testing.T) {
+	whole := start()
+	badOutcome := frame(2, 1002, "", rec(1, uint32(4)),
+		rec(3, uint64(77), byte(0), byte(0), uint32(8), uint16(99)))
+	for name, in := range map[string][]byte{
+		"ends within a header":         whole[:7],
+		"ends within a frame":          whole[:len(whole)-3],
+		"cannot hold":                  frame(1, 1, "")[:8],
+		"which is not open":            frame(1, 1, "", rec(1, uint32(4)), rec(5)),
+		"event code 99 is unknown":     append(whole, frame(2, 1, "", rec(1, uint32(4)), rec(99))...),
+		"past the tail":                frame(1, 1, "", rec(1, uint32(4)), rec(11, uint64(1), uint32(9), uint32(9))),
+		"the clock reads":              frame(1, math.NaN(), ""),
+		"outcome 99 is unknown":        append(start(), badOutcome...),
+		"before one was selected":      frame(1, 1, "", rec(11, uint64(1), uint32(0), uint32(0))),
+		"product 3 is unknown":         append(start(), frame(2, 1, "", rec(1, uint32(4)), rec(13, uint64(1), byte(3)))...),
+		"products.count: strconv.Pars": frame(1, 1, "products.count=x", rec(1, uint32(4)), rec(11, uint64(1), uint32(0), uint32(16))),
+	} {
+		if name == "cannot hold" {
+			in = append([]byte{0, 0, 0, 9, 0, 0, 0, 20}, make([]byte, 12)...)
+		}
+		_, err := serve(in)
+		require.ErrorContains(t, err, name)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -399,13 +399,14 @@
 // barred guards against a fleet that serves nobody because it has let everybody in: while many servers are
 // late or shut, an attachment is pushed back that earns much less for its load than those that stand.
 func (b *Balancer) barred(a *Attachment) bool {
-	return b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < poorBelow*b.worth
+	return b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < max(poorBelow, b.crowd)*b.worth
 }
 
 // crowdedFrom: a quarter of the servers in trouble is more than single servers that are ill.
 const crowdedFrom = 0.25
 
-// poorBelow: half of the mean bars the few that bring most of the load and lets all others in.
+// poorBelow: half of the mean bars the few that bring most of the load; where nearly all servers are in
+// trouble the bar rises towards the mean.
 const poorBelow = 0.5
 
 // measure finds how crowded the fleet is, and what a unit of load earns.
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,291 @@
+package logic_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/logic"
+)
+
+func TestFewestActiveAndPendingTakeTurns(t *testing.T) {
+	f := open(t, 4)
+	for id, on := range f.fill(12) {
+		require.Len(t, on, 3, "server %d", id)
+	}
+}
+
+func TestPendingCountsBeforeTheConnectionStands(t *testing.T) {
+	f := open(t, 3)
+	seen := map[logic.ServerID]bool{}
+	for range 3 {
+		seen[f.send(f.arrive(0)).Server] = true
+	}
+	require.Len(t, seen, 3)
+}
+
+func TestAnEndedConnectionMakesRoom(t *testing.T) {
+	f := open(t, 3)
+	on := f.fill(9)
+	require.Equal(t, logic.Nothing, f.After(f.now, on[2][0], logic.OK, true).Verdict)
+	_, id := f.place()
+	require.Equal(t, logic.ServerID(2), id)
+}
+
+func TestAHeavierWeightBearsMore(t *testing.T) {
+	f := open(t, 1)
+	f.Listed(f.now, 2, 0, 2, logic.Ready, 3, 0)
+	f.ListDone(f.now, false)
+	on := f.fill(12)
+	require.Len(t, on[2], 9)
+}
+
+func TestNothingNewGoesToDrainingOrGoneServers(t *testing.T) {
+	f := open(t, 3)
+	f.tell(1, logic.Draining, 0)
+	f.tell(2, logic.Gone, 0)
+	require.Len(t, f.fill(6)[3], 6)
+}
+
+func TestAServerMissingFromAWholeListIsGone(t *testing.T) {
+	f := open(t, 3)
+	f.ListWhole(f.now)
+	f.tell(2, logic.Ready, 0)
+	f.ListDone(f.now, false)
+	require.Len(t, f.fill(4)[2], 4)
+}
+
+func TestAnEmptyFleetHoldsAndThenPushesBack(t *testing.T) {
+	f := open(t, 0)
+	a := f.arrive(0)
+	ans := f.Where(f.now, a)
+	require.Equal(t, logic.NotYet, ans.Verdict)
+	require.Positive(t, ans.For)
+	f.now = a.Limit - ms
+	require.Equal(t, logic.PushBack, f.Where(f.now, a).Verdict)
+}
+
+func TestANewServerStartsAtTheOthersMeanAndIsPacedWhileCold(t *testing.T) {
+	f := open(t, 3)
+	f.fill(30)
+	f.tell(4, logic.Ready, f.now)
+	f.ListDone(f.now, false)
+	require.LessOrEqual(t, len(f.fill(12)[4]), 3)
+	f.pass(20 * sec)
+	require.NotEmpty(t, f.fill(12)[4])
+}
+
+func TestTheListIsAskedAgainAfterAFailureButSpaced(t *testing.T) {
+	f := open(t, 2)
+	f.pass(300 * ms)
+	require.Equal(t, 1, f.count(logic.Subscribe))
+	for range 4 {
+		f.ListFailed(f.now)
+		f.pass(100 * ms)
+	}
+	require.Equal(t, 1, f.count(logic.Subscribe))
+	f.pass(6 * sec)
+	require.GreaterOrEqual(t, f.count(logic.Subscribe), 2)
+	f.ListDone(f.now, false)
+	before := f.count(logic.Subscribe)
+	f.pass(20 * sec)
+	require.Equal(t, before, f.count(logic.Subscribe), "a subscription that stands is not asked for again")
+}
+
+func TestAServerThatFailsFastIsPassedOverAndComesBack(t *testing.T) {
+	f := open(t, 4)
+	f.fill(8)
+	for failures := 0; failures < 2; {
+		a := f.arrive(0)
+		bad := f.send(a).Server == 1
+		if bad {
+			failures++
+			again := f.After(f.now, a, logic.Failure, false)
+			require.Equal(t, logic.Send, again.Verdict)
+			require.NotEqual(t, logic.ServerID(1), again.Server)
+		}
+		f.Stands(f.now, a)
+	}
+	require.Empty(t, f.fill(8)[1], "its count is the lowest, for it has failed the others")
+	f.pass(5 * sec)
+	require.NotEmpty(t, f.fill(16)[1])
+}
+
+func TestWhereAllFailAlikeNobodyIsSingledOutAndOneGoesAtATime(t *testing.T) {
+	f := open(t, 4)
+	f.fill(8)
+	a := f.arrive(0)
+	f.send(a)
+	for range 3 {
+		f.pass(100 * ms)
+		require.Equal(t, logic.Send, f.After(f.now, a, logic.TimedOut, false).Verdict)
+	}
+	// A slow store: the one that is out has all its time, the next one waits.
+	other := f.arrive(0)
+	require.Equal(t, logic.NotYet, f.Where(f.now, other).Verdict)
+	f.Stands(f.now, a)
+	f.send(other)
+}
+
+func TestAHungServerLeavesTimeForAnother(t *testing.T) {
+	f := open(t, 3)
+	f.fill(6)
+	require.Less(t, f.send(f.arrive(0)).For, status.Quoted)
+}
+
+func TestAServerThatShedsIsLeftAlone(t *testing.T) {
+	f := open(t, 3)
+	on := f.fill(9)
+	for _, a := range on[1] {
+		f.After(f.now, a, logic.Reset, true)
+	}
+	require.Empty(t, f.fill(2)[1], "its count is the lowest, for it has dropped them all")
+}
+
+func TestNoHerdFallsOnTheLastOpenServer(t *testing.T) {
+	f := open(t, 4)
+	f.fill(40)
+	f.late(50*ms, 1, 1, 2, 3)
+	placed := 0
+	for range 40 {
+		a := f.arrive(0)
+		if f.Where(f.now, a).Verdict == logic.Send {
+			f.Stands(f.now, a)
+			placed++
+		}
+	}
+	require.Positive(t, placed)
+	require.LessOrEqual(t, placed, 20)
+}
+
+func TestALateServerTakesNothingNewAndLosesSomeConnections(t *testing.T) {
+	f := open(t, 4)
+	on := f.fill(40)
+	f.late(500*ms, 6, 1)
+	require.Positive(t, f.count(logic.Move))
+	for _, e := range f.errand {
+		if e.Task == logic.Move {
+			require.Contains(t, ids(on[1]), e.Attachment)
+		}
+	}
+	require.Empty(t, f.fill(8)[1])
+	f.Delay(f.now, 1, 0)
+	f.pass(60 * sec)
+	require.NotEmpty(t, f.fill(8)[1])
+}
+
+func TestADelayThatFallsMovesNobody(t *testing.T) {
+	f := open(t, 4)
+	f.fill(40)
+	f.Delay(f.now, 1, 900*ms)
+	for took := 800 * ms; took > 200*ms; took -= 100 * ms {
+		f.Delay(f.now, 1, took)
+		f.pass(sec)
+	}
+	require.Zero(t, f.count(logic.Move))
+}
+
+func TestInACrowdTheHeavyArePushedBackAtOnce(t *testing.T) {
+	f := open(t, 4)
+	on := f.fill(20)
+	for _, as := range on {
+		for _, a := range as {
+			f.Load(f.now, a, 1000)
+		}
+	}
+	heavy := f.arrive(0)
+	heavy.Hint = 8000
+	f.send(heavy)
+	f.After(f.now, heavy, logic.Failure, true)
+	f.late(150*ms, 1, 1, 2)
+	again := f.arrive(0)
+	again.Hint = 8000
+	ans := f.Where(f.now, again)
+	require.Equal(t, logic.PushBack, ans.Verdict)
+	require.Positive(t, ans.For, "the client is told when to come back")
+	f.send(f.arrive(0))
+}
+
+func TestMembersOfAGroupStayTogether(t *testing.T) {
+	f := open(t, 4)
+	f.fill(8)
+	var home logic.ServerID
+	for i := range 4 {
+		a := f.arrive(0)
+		a.Group = 7
+		id := f.send(a).Server
+		f.Stands(f.now, a)
+		if i == 0 {
+			home = id
+		}
+		require.Equal(t, home, id)
+	}
+}
+
+func TestAClientThatComesBackWeighsWhatItWeighed(t *testing.T) {
+	f := open(t, 2)
+	on := f.fill(10)
+	for _, as := range on {
+		for _, a := range as {
+			f.Load(f.now, a, 1000)
+		}
+	}
+	heavy := on[1][0]
+	f.Load(f.now, heavy, 6000)
+	f.After(f.now, heavy, logic.Cancelled, true)
+	back := f.arrive(0)
+	back.Key = heavy.Key
+	require.Equal(t, logic.ServerID(1), f.send(back).Server)
+	f.Stands(f.now, back)
+	require.Len(t, f.fill(3)[2], 3, "one heavy connection counts as several")
+}
+
+func TestTheOwnZoneComesFirstWhereACrossingIsDear(t *testing.T) {
+	f := open(t, 2)
+	f.Listed(f.now, 3, 1, 3, logic.Ready, 1, 0)
+	f.ListDone(f.now, false)
+	on := f.fill(12)
+	require.LessOrEqual(t, len(on[3]), 2)
+	f.late(200*ms, 1, 1, 2)
+	_, id := f.place()
+	require.Equal(t, logic.ServerID(3), id, "the own zone can take no more")
+}
+
+func TestAOneShotThatMayHaveRunIsGivenUp(t *testing.T) {
+	f := open(t, 3, logic.Product{Quoted: 300 * ms, Repeat: logic.OneShot})
+	a := f.arrive(0)
+	require.Equal(t, 2*sec, f.send(a).For, "it waits as long as it can")
+	require.Equal(t, logic.Send, f.After(f.now, a, logic.NoConnection, false).Verdict)
+	require.Equal(t, logic.GiveUp, f.After(f.now, a, logic.TimedOut, false).Verdict)
+}
+
+func TestAStampedOneGoesAgainOnlyInItsGroupAndWindow(t *testing.T) {
+	stamped := logic.Product{Quoted: 300 * ms, Repeat: logic.Stamped, Reach: logic.ReachCell, Memory: sec}
+	f := open(t, 3, stamped)
+	a := f.arrive(0)
+	first := f.send(a).Server
+	f.pass(200 * ms)
+	again := f.After(f.now, a, logic.TimedOut, false)
+	require.Equal(t, logic.Send, again.Verdict)
+	require.Equal(t, first, again.Server, "each server here is a cell of its own")
+	f.pass(900 * ms)
+	require.Equal(t, logic.GiveUp, f.After(f.now, a, logic.TimedOut, false).Verdict)
+}
+
+func TestDispatchesAreCounted(t *testing.T) {
+	f := open(t, 8)
+	a := f.arrive(0)
+	f.send(a)
+	for range 4 {
+		require.Equal(t, logic.Send, f.After(f.now, a, logic.Full, false).Verdict)
+	}
+	require.Equal(t, logic.PushBack, f.After(f.now, a, logic.Full, false).Verdict)
+}
+
+func ids(as []*logic.Attachment) []logic.AttachmentID {
+	var out []logic.AttachmentID
+	for _, a := range as {
+		out = append(out, a.ID)
+	}
+	return out
+}
