After one failed set-up the next has all its time; two servers make a common cause

Cause: through a slow store each proxy's short time-outs sent four more dispatches before it was known.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -433,11 +433,12 @@
 
 // common tells that set-ups fail for a common cause, as on a shared store that is slow: the last ones failed
 // on several servers with none standing between. More dispatches make that worse, so they go out one at a
-// time and with all the time there is, until one stands.
+// time; each that stands takes one failure back.
 func (b *Balancer) common() bool { return len(b.failing) >= commonFrom }
 
-// commonFrom is the number of servers in a row: one or two are ill by themselves in any fleet.
-const commonFrom = 3
+// commonFrom is the number of servers: one is ill by itself, and between two ill ones a set-up stands
+// elsewhere. Three or four found a slow store too late.
+const commonFrom = 2
 
 // holder returns packets of an open connection to the server that holds it, where this instance knows it.
 func (b *Balancer) holder(now Micros, a *Attachment) *server {
@@ -471,14 +472,15 @@
 }
 
 // patience is the time-out of a dispatch. It leaves room for another server before the quoted time, but
-// follows the fleet's own set-up time, so that a slow store is not met with more dispatches.
+// follows the fleet's own set-up time. Where the last set-up failed and none has stood since, the next has all
+// the time there is: one short time-out finds a hung server, a second would only burden a slow store.
 func (b *Balancer) patience(now Micros, a *Attachment) Micros {
 	p := &b.products[a.Product]
 	left := a.Limit - now
 	if p.Repeat == OneShot || a.sends >= b.leave.Dispatches {
 		return left
 	}
-	if b.common() {
+	if len(b.failing) > 0 {
 		return left
 	}
 	usual := Micros(b.setup.mean + 4*b.setup.spread)
@@ -603,7 +605,7 @@
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
 	b.placed += a.units
-	b.failing = b.failing[:0]
+	b.failing = b.failing[:max(len(b.failing)-1, 0)]
 	s.tries++
 	if s.trial {
 		s.trial, s.fails = false, s.fails/2
