--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	setup    pace
 	unit     pace    // load of a connection, microseconds a second
 	crowd    float64 // share of the ready servers that are late or shut, at most; wearing off
+	home     float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
 	worth    float64 // mean gain of a unit of load
 	rate     float64
 	placed   float64
@@ -206,14 +207,17 @@
 func (b *Balancer) size(s *server) float64 {
 	size := s.weight / b.weight * s.pace
 	if s.zone != b.zone {
-		size *= max(0.05, 1-crossingWeight*b.crossing)
+		size *= max(0.05, 1-(calmCrossing-b.home*(calmCrossing-needyCrossing))*b.crossing)
 	}
 	return size
 }
 
-// crossingWeight turns the price of a crossing into fullness: at a price of a tenth of the gain the own zone
-// may be nearly twice as full, at a quarter it is left only when it can take no more.
-const crossingWeight = 4
+// The price of a crossing, times these, is what another zone's servers count smaller by: at a price of a
+// fifth they are all but closed while the own zone is calm, and a third as large once it is in trouble.
+const (
+	calmCrossing  = 4.7
+	needyCrossing = 3.2
+)
 
 func (b *Balancer) ready() int {
 	n := 0
@@ -409,15 +413,18 @@
 // trouble the bar rises towards the mean.
 const poorBelow = 0.5
 
-// measure finds how crowded the fleet is, and what a unit of load earns.
+// measure finds how crowded the fleet and the own zone are, and what a unit of load earns.
 func (b *Balancer) measure(now Micros) {
-	troubled, ready := 0.0, 0.0
-	gain, units := 0.0, 0.0
+	var all, bad, own, ownBad, gain, units float64
 	for _, s := range b.servers {
+		trouble := 0.0
+		if s.late(now) || s.shut > now {
+			trouble = 1
+		}
 		if s.state == Ready {
-			ready++
-			if s.late(now) || s.shut > now {
-				troubled++
+			all, bad = all+1, bad+trouble
+			if s.zone == b.zone {
+				own, ownBad = own+1, ownBad+trouble
 			}
 		}
 		for _, a := range s.standing {
@@ -425,7 +432,8 @@
 			units += a.units
 		}
 	}
-	b.crowd = max(troubled/max(ready, 1), b.crowd*0.92)
+	b.crowd = max(bad/max(all, 1), b.crowd*0.92)
+	b.home = max(min(1, 4*ownBad/max(own, 1)), b.home*0.98)
 	if units > 0 {
 		b.worth = gain / units
 	}
@@ -471,9 +479,9 @@
 	return Answer{Verdict: GiveUp}
 }
 
-// patience is the time-out of a dispatch. It leaves room for another server before the quoted time, but
-// follows the fleet's own set-up time. Where the last set-up failed and none has stood since, the next has all
-// the time there is: one short time-out finds a hung server, a second would only burden a slow store.
+// patience is the time-out of a dispatch. It leaves room for another server before the quoted time, but follows
+// the fleet's own set-up time. Where the last set-up failed and none has stood since, the next has all the time
+// there is: one short time-out finds a hung server, a second would only burden a slow store.
 func (b *Balancer) patience(now Micros, a *Attachment) Micros {
 	p := &b.products[a.Product]
 	left := a.Limit - now
@@ -605,6 +613,7 @@
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
 	b.placed += a.units
+	s.strikes = 0
 	b.failing = b.failing[:max(len(b.failing)-1, 0)]
 	s.tries++
 	if s.trial {
