--- a/logic/logic.go
+++ b/logic/logic.go
@@ -479,9 +479,9 @@
 	return Answer{Verdict: GiveUp}
 }
 
-// patience is the time-out of a dispatch. It leaves room for another server before the quoted time, but follows
-// the fleet's own set-up time. Where the last set-up failed and none has stood since, the next has all the time
-// there is: one short time-out finds a hung server, a second would only burden a slow store.
+// patience is the time-out of a dispatch. It leaves room for another server before the quoted time, but
+// follows the fleet's own set-up time. Where the last set-up failed and none has stood since, the next has
+// all the time there is: one short time-out finds a hung server, a second only burdens a slow store.
 func (b *Balancer) patience(now Micros, a *Attachment) Micros {
 	p := &b.products[a.Product]
 	left := a.Limit - now
