--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,6 +11,7 @@
 package logic
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
 	"slices"
@@ -39,6 +40,7 @@
 	crowd    float64 // share of the ready servers that are late or shut, at most; wearing off
 	home     float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
 	worth    float64 // mean gain of a unit of load
+	told     plight
 	rate     float64
 	placed   float64
 	holders  map[ClientKey]ServerID
@@ -76,7 +78,6 @@
 	strikes      int
 	shut         Micros // takes nothing until then, for it has more than it can do
 	sheds        int
-	trial        bool    // back on trial: one dispatch at a time
 	pace         float64 // what it is seen to do against its weight; 1 at first
 	delay        Micros
 	delayAt      Micros
@@ -141,7 +142,7 @@
 	}
 	fresh := launched > s.launched && now-launched < b.cold.Warm
 	if state == Ready && (fresh || s.state == Gone) {
-		s.tries, s.fails, s.shunned, s.strikes, s.trial = 0, 0, 0, 0, false
+		s.tries, s.fails, s.shunned, s.strikes = 0, 0, 0, 0
 		b.startAtMean(s)
 	}
 	s.zone, s.cell, s.state, s.launched, s.listed = zone, cell, state, launched, true
@@ -184,8 +185,7 @@
 	b.follow.asking, b.follow.on = false, false
 	b.follow.misses++
 	// 1 s at first, doubling to at most a third of the span within which the list must be asked.
-	wait := min(Second<<min(b.follow.misses-1, 4), max(Second, b.list.Within/3))
-	b.follow.askAt = now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
+	b.follow.askAt = b.around(now, min(Second<<min(b.follow.misses-1, 4), max(Second, b.list.Within/3)))
 }
 
 func (b *Balancer) followList(now Micros) {
@@ -272,37 +272,30 @@
 	return len(s.waiting) > 0 && now-s.waiting[0].sentAt > stuckAfter
 }
 
-// fit grades a server: 0 takes anything, 1 only when no 0 is there, and so on; -1 never.
-func (b *Balancer) fit(now Micros, s *server, a *Attachment) int {
-	switch {
-	case s.state != Ready || !b.mayGo(now, s, a):
-		return -1
-	case s.late(now), s.shut > now, s.trial && len(s.waiting) > 0, !b.warmEnough(now, s, a):
-		return -1
-	case s.stuck(now), s.shunned > now:
-		return 2
-	case a.sends > 0 && a.last == s.id:
-		return 1
-	}
-	return 0
+// mayTake tells whether a server may be sent this attachment now.
+func (b *Balancer) mayTake(now Micros, s *server, a *Attachment, full float64) bool {
+	return s.state == Ready && b.mayGo(now, s, a) && !s.late(now) && s.shut <= now &&
+		b.warmEnough(now, s, a) && b.fill(s) < full
 }
 
-// pick scans from the rotating start for the least load per weight, the newcomer's included.
+// ill tells whether a server is passed over while another one may be had.
+func (s *server) ill(now Micros) bool { return s.shunned > now || s.stuck(now) }
+
+// pick scans from the rotating start for the least load per size, the newcomer's included.
 func (b *Balancer) pick(now Micros, a *Attachment) *server {
 	n := len(b.servers)
 	var best *server
-	bestFit, bestCost := 0, 0.0
-	u := b.unitsOf(a)
-	full := b.full()
+	bestCost, bestIll := 0.0, false
+	u, full := b.unitsOf(a), b.full()
 	for i := range n {
 		s := b.servers[(b.next+i)%n]
-		fit := b.fit(now, s, a)
-		if fit < 0 || b.fill(s) >= full || (best != nil && fit > bestFit) {
+		ill := s.ill(now)
+		if !b.mayTake(now, s, a, full) || best != nil && ill && !bestIll {
 			continue
 		}
 		cost := b.cost(s, a, u)
-		if best == nil || fit < bestFit || cost < bestCost-1e-9 {
-			best, bestFit, bestCost = s, fit, cost
+		if best == nil || bestIll && !ill || cost < bestCost-1e-9 {
+			best, bestCost, bestIll = s, cost, ill
 		}
 	}
 	b.next = (b.next + 1) % max(n, 1)
@@ -413,6 +406,26 @@
 // trouble the bar rises towards the mean.
 const poorBelow = 0.5
 
+// plight is what on-call staff are told of in the log, when it changes.
+type plight struct {
+	crowded, common bool
+	ill             int
+}
+
+func (b *Balancer) report(now Micros) {
+	told := plight{crowded: b.crowd > crowdedFrom, common: b.common()}
+	for _, s := range b.servers {
+		if s.state == Ready && s.ill(now) {
+			told.ill++
+		}
+	}
+	if told != b.told {
+		b.told = told
+		b.errands = append(b.errands, Errand{Task: Log, Words: fmt.Sprintf(
+			"crowded: %t, common cause: %t, servers passed over: %d", told.crowded, told.common, told.ill)})
+	}
+}
+
 // measure finds how crowded the fleet and the own zone are, and what a unit of load earns.
 func (b *Balancer) measure(now Micros) {
 	var all, bad, own, ownBad, gain, units float64
@@ -485,10 +498,7 @@
 func (b *Balancer) patience(now Micros, a *Attachment) Micros {
 	p := &b.products[a.Product]
 	left := a.Limit - now
-	if p.Repeat == OneShot || a.sends >= b.leave.Dispatches {
-		return left
-	}
-	if len(b.failing) > 0 {
+	if p.Repeat == OneShot || a.sends >= b.leave.Dispatches || len(b.failing) > 0 {
 		return left
 	}
 	usual := Micros(b.setup.mean + 4*b.setup.spread)
@@ -528,6 +538,7 @@
 		b.wearOff(now)
 		b.followList(now)
 		b.measure(now)
+		b.report(now)
 		b.relieve(now)
 	}
 	return b.nextTick - now, b.errands
@@ -535,7 +546,6 @@
 
 // wearOff lets old evidence fade: failures over some 3.5 s, a starting count over some 9 s.
 func (b *Balancer) wearOff(now Micros) {
-	ready := 0
 	for _, s := range b.servers {
 		s.tries *= 0.95
 		s.fails *= 0.95
@@ -543,18 +553,15 @@
 		if !s.late(now) {
 			s.pace = min(1, s.pace*1.005)
 		}
-		if s.state == Ready {
-			ready++
-		}
 	}
-	b.rate += (b.placed*float64(Second)/float64(tick)/float64(max(ready, 1)) - b.rate) / 40
+	b.rate += (b.placed*float64(Second/tick)/float64(max(b.ready(), 1)) - b.rate) / 40
 	b.placed = 0
 }
 
 // ---- counting
 
 func (b *Balancer) put(now Micros, s *server, a *Attachment) {
-	a.on, a.sentAt, a.last, a.units = s, now, s.id, b.unitsOf(a)
+	a.on, a.sentAt, a.units = s, now, b.unitsOf(a)
 	a.sends++
 	s.units += a.units
 	s.waiting = append(s.waiting, a)
@@ -616,16 +623,13 @@
 	s.strikes = 0
 	b.failing = b.failing[:max(len(b.failing)-1, 0)]
 	s.tries++
-	if s.trial {
-		s.trial, s.fails = false, s.fails/2
-	}
 	s.sheds = max(s.sheds-1, 0)
-	if b.leave.Through {
-		b.holders[a.Key] = s.id
-	}
 }
 
 func (b *Balancer) stand(s *server, a *Attachment) {
+	if b.leave.Through {
+		b.holders[a.Key] = s.id
+	}
 	a.stands, a.slot = true, len(s.standing)
 	s.standing = append(s.standing, a)
 }
@@ -655,21 +659,15 @@
 	}
 	a.level = level
 	b.unit.add(level)
-	b.remember(a)
-	a.on.units -= a.units
-	a.units = b.unitsOf(a)
-	a.on.units += a.units
-}
-
-// remember keeps a client's load for its return: a moved or dropped connection weighs as much as before.
-func (b *Balancer) remember(a *Attachment) {
-	if a.Key == 0 {
-		return
-	}
 	if len(b.loads) >= manyLoads {
 		clear(b.loads)
 	}
-	b.loads[a.Key] = a.level
+	if a.Key != 0 {
+		b.loads[a.Key] = level // a moved or dropped client weighs as much when it comes again
+	}
+	a.on.units -= a.units
+	a.units = b.unitsOf(a)
+	a.on.units += a.units
 }
 
 // manyLoads bounds the memory of loads; a few dozen bytes each keep it under a megabyte.
@@ -717,24 +715,22 @@
 	}
 	if o == Reset || o == Full {
 		// Guards against a storm: a server that drops its newest has more than it can do, and each of them
-		// comes again at once. It is left alone for 0.5 s, doubling to 8 s, then tried with one at a time.
+		// comes again at once. It is left alone for 0.5 s, doubling to 8 s.
 		s.sheds = min(s.sheds+1, 5)
-		wait := Second / 4 << s.sheds
-		s.shut = max(s.shut, now+wait/2+Micros(b.rng.Int63n(int64(wait))))
-		s.trial = true
-		if len(s.standing) == 0 {
-			b.startAtMean(s) // its process may have been lost: no list has told, but it comes back empty
-		}
+		s.shut = max(s.shut, b.around(now, Second/4<<s.sheds))
 	}
 	// One failure in two tries is out of line where half the fleet has none.
 	if s.share() > b.median()+0.3 {
 		s.strikes = min(s.strikes+1, 4)
-		wait := Second << (s.strikes - 1)
-		s.shunned = now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
-		s.trial = true
+		s.shunned = b.around(now, Second<<(s.strikes-1))
 	}
 }
 
+// around is a time that lies a wait ahead, half as much more or less, so that proxies do not act as one.
+func (b *Balancer) around(now, wait Micros) Micros {
+	return now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
+}
+
 func (s *server) share() float64 { return s.fails / (s.tries + 1) }
 
 func (b *Balancer) median() float64 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -202,6 +202,7 @@
 	again.Hint = 8000
 	ans := f.Where(f.now, again)
 	require.Equal(t, logic.PushBack, ans.Verdict)
+	require.Positive(t, f.count(logic.Log), "on-call staff can read of it")
 	require.Positive(t, ans.For, "the client is told when to come back")
 	f.send(f.arrive(0))
 }
@@ -272,6 +273,21 @@
 	require.Equal(t, logic.GiveUp, f.After(f.now, a, logic.TimedOut, false).Verdict)
 }
 
+func TestPacketsOfAnOpenConnectionReturnToTheirServer(t *testing.T) {
+	f := open(t, 4)
+	f.Balancer = logic.New(1, 0, 0, []logic.Product{status}, logic.Unweighed, logic.Listing{},
+		logic.ColdRule{}, logic.Leave{Dispatches: 5, Through: true}, 0)
+	for id := logic.ServerID(1); id <= 4; id++ {
+		f.tell(id, logic.Ready, 0)
+	}
+	open := f.arrive(0)
+	f.Carried(f.now, open, 3)
+	f.After(f.now, open, logic.Cancelled, true)
+	back := f.arrive(0)
+	back.Key, back.MidFlow = open.Key, true
+	require.Equal(t, logic.ServerID(3), f.send(back).Server)
+}
+
 func TestDispatchesAreCounted(t *testing.T) {
 	f := open(t, 8)
 	a := f.arrive(0)
--- a/logic/types.go
+++ b/logic/types.go
@@ -157,7 +157,6 @@
 	slot     int     // its place among the server's connections
 	ran      *server // the first server on which it may have run
 	ranSince Micros
-	last     ServerID
 }
 
 // Stands tells whether the connection is set up.
