--- a/logic/logic.go
+++ b/logic/logic.go
@@ -749,24 +749,21 @@
 
 // ---- moves
 
-// relieve moves connections off servers whose messages miss their quoted time: they earn nothing there. Where
-// half of the fleet is as late there may be nowhere to go, so only those go that are far too late. A delay
-// that falls needs no more: what has piled up takes its time to drain.
+// relieve moves connections off servers whose messages are late: they earn little there, and what piles up
+// would be worse. In a crowd only from twice that lateness on, for there is less room elsewhere. A
+// delay that falls needs no more: what has piled up takes its time to drain.
 func (b *Balancer) relieve(now Micros) {
-	quoted := b.quickest()
-	late := 0
-	for _, s := range b.servers {
-		if s.state == Ready && s.late(now) && s.delay >= quoted {
-			late++
-		}
+	from := b.quickest() / 3
+	if b.crowd > crowdedFrom {
+		from = b.quickest() * 2 / 3
 	}
 	for _, s := range b.servers {
-		if !s.late(now) || s.falling || s.delay < quoted || s.delay < 2*quoted && late*2 > b.ready() {
+		if !s.late(now) || s.falling || s.delay < from {
 			continue
 		}
 		// 4% a second of the own connections where messages are just late, 16% where they take four times as
 		// long: half of it left slow servers full, twice as much swung the load to and fro.
-		share := 0.04 * min(float64(s.delay)/float64(quoted), 4) * float64(tick) / float64(Second)
+		share := 0.04 * min(float64(s.delay)/float64(from), 4) * float64(tick) / float64(Second)
 		if a := s.heaviest(); a != nil && b.rng.Float64() < share*float64(len(s.standing)) {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
 		}
