--- a/logic/logic.go
+++ b/logic/logic.go
@@ -399,7 +399,7 @@
 	return b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < max(poorBelow, b.crowd)*b.worth
 }
 
-// crowdedFrom: a fifth of the servers in trouble is more than single ones that are ill; tenths bar on calm days.
+// crowdedFrom: a fifth of the servers in trouble is more than single ones; a tenth bars on calm days, too.
 const crowdedFrom = 0.2
 
 // poorBelow: half of the mean bars the few that bring most of the load; where nearly all servers are in
