--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,7 @@
 	placed   float64
 	holders  map[ClientKey]ServerID
 	loads    map[ClientKey]float64 // of clients that may come again
+	stood    Micros                // when a set-up last stood
 	failing  []ServerID            // servers on which a set-up failed since the last that stood
 	shares   []float64
 	errands  []Errand
@@ -265,8 +266,8 @@
 
 func (s *server) late(now Micros) bool { return s.delay > 0 && now-s.delayAt < lateAfter }
 
-// stuckAfter is the design's figure for a set-up that has been pending too long.
-const stuckAfter = 2 * Second
+// stuckAfter: a set-up takes tens of milliseconds, and a hung server must not go on drawing for seconds.
+const stuckAfter = 300 * Millisecond
 
 func (s *server) stuck(now Micros) bool {
 	return len(s.waiting) > 0 && now-s.waiting[0].sentAt > stuckAfter
@@ -492,19 +493,22 @@
 	return Answer{Verdict: GiveUp}
 }
 
-// patience is the time-out of a dispatch. It leaves room for another server before the quoted time, but
-// follows the fleet's own set-up time. Where the last set-up failed and none has stood since, the next has
-// all the time there is: one short time-out finds a hung server, a second only burdens a slow store.
+// patience is the time-out of a dispatch. Where a set-up stood lately it leaves room for another server
+// before the quoted time, following the fleet's usual set-up time. Where none did, or the last one failed, it
+// is all the time there is: the store may be slow, and another dispatch would only burden it.
 func (b *Balancer) patience(now Micros, a *Attachment) Micros {
 	p := &b.products[a.Product]
 	left := a.Limit - now
-	if p.Repeat == OneShot || a.sends >= b.leave.Dispatches || len(b.failing) > 0 {
+	if p.Repeat == OneShot || a.sends >= b.leave.Dispatches || len(b.failing) > 0 || now-b.stood > stoodLately {
 		return left
 	}
 	usual := Micros(b.setup.mean + 4*b.setup.spread)
 	return min(left, max(usual, p.Quoted*2/5))
 }
 
+// stoodLately: a store that was quick a second ago is not what holds a set-up up.
+const stoodLately = Second
+
 // After says what to do after an outcome; over tells that the attachment has had its final answer.
 func (b *Balancer) After(now Micros, a *Attachment, o Outcome, over bool) Answer {
 	s, stood := a.on, a.stands
@@ -620,7 +624,7 @@
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
 	b.placed += a.units
-	s.strikes = 0
+	s.strikes, b.stood = 0, now
 	b.failing = b.failing[:max(len(b.failing)-1, 0)]
 	s.tries++
 	s.sheds = max(s.sheds-1, 0)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -131,6 +131,11 @@
 	f := open(t, 3)
 	f.fill(6)
 	require.Less(t, f.send(f.arrive(0)).For, status.Quoted)
+	f.pass(2 * sec)
+	require.Equal(t, 2*sec, f.send(f.arrive(0)).For, "none stood lately: the store may be slow")
+	f.pass(sec)
+	a, _ := f.place()
+	require.True(t, a.Stands(), "the servers that hold the two set-ups are passed over")
 }
 
 func TestAServerThatShedsIsLeftAlone(t *testing.T) {
