A new server's starting count uses its weight

It was taken before the weight was known, so it was 0 and only the cold rule held newcomers back. Found in reading the module through; the story fails without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -141,16 +141,16 @@
 		b.servers = append(b.servers, s)
 		s.state = Gone
 	}
+	s.zone, s.cell, s.weight, s.listed = zone, cell, 1, true
+	if b.weighing != Unweighed && weight > 0 {
+		s.weight = weight
+	}
 	fresh := launched > s.launched && now-launched < b.cold.Warm
 	if state == Ready && (fresh || s.state == Gone) {
 		s.tries, s.fails, s.shunned, s.strikes = 0, 0, 0, 0
 		b.startAtMean(s)
 	}
-	s.zone, s.cell, s.state, s.launched, s.listed = zone, cell, state, launched, true
-	s.weight = 1
-	if b.weighing != Unweighed && weight > 0 {
-		s.weight = weight
-	}
+	s.state, s.launched = state, launched
 }
 
 // startAtMean guards against a newcomer drawing every attachment: it starts at the others' mean.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -75,6 +75,14 @@
 	require.NotEmpty(t, f.fill(12)[4])
 }
 
+func TestANewServerThatIsWarmStartsAtTheOthersMeanToo(t *testing.T) {
+	f := open(t, 3)
+	f.fill(30)
+	f.tell(4, logic.Ready, 0)
+	f.ListDone(f.now, false)
+	require.LessOrEqual(t, len(f.fill(8)[4]), 3)
+}
+
 func TestTheListIsAskedAgainAfterAFailureButSpaced(t *testing.T) {
 	f := open(t, 2)
 	f.pass(300 * ms)
