--- a/logic/logic.go
+++ b/logic/logic.go
@@ -395,9 +395,10 @@
 }
 
 // barred guards against a fleet that serves nobody because it has let everybody in: while many servers are
-// late or shut, an attachment is pushed back that earns much less for its load than those that stand.
+// late or shut, an attachment is pushed back that earns much less for its load than those that stand. Packets
+// of an open connection are load that is borne already.
 func (b *Balancer) barred(a *Attachment) bool {
-	return b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < max(poorBelow, b.crowd)*b.worth
+	return !a.MidFlow && b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < max(poorBelow, b.crowd)*b.worth
 }
 
 // crowdedFrom: a fifth of the servers in trouble is more than single ones; a tenth bars on calm days, too.
