--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -91,6 +91,31 @@
 // Subscribe asks to be told of changes to the list.
 func (r *Reply) Subscribe() { r.record(72)[0] = 1 }
 
+// AskList asks for the whole list once.
+func (r *Reply) AskList() { r.record(68) }
+
+// Probe tests a server, where the settings allow it.
+func (r *Reply) Probe(server logic.ServerID) { binary.BigEndian.PutUint32(r.record(67), uint32(server)) }
+
+// Retract ends the wait on one dispatch, where the settings allow it.
+func (r *Reply) Retract(id logic.AttachmentID, dispatch byte) {
+	room := r.record(78)
+	binary.BigEndian.PutUint64(room, uint64(id))
+	room[8] = dispatch
+}
+
+// ShutIdle closes idle connections to a server.
+func (r *Reply) ShutIdle(server logic.ServerID) { binary.BigEndian.PutUint32(r.record(73), uint32(server)) }
+
+// Publish sends bytes to one other instance, or to all where all bits of the target are set.
+func (r *Reply) Publish(target uint16, data []byte) {
+	room := r.record(70)
+	binary.BigEndian.PutUint16(room, target)
+	binary.BigEndian.PutUint32(room[2:], uint32(len(r.tail)))
+	binary.BigEndian.PutUint32(room[6:], uint32(len(data)))
+	r.tail = append(r.tail, data...)
+}
+
 // Remind asks for a reminder. The label tells nothing: a reminder only wakes the instance.
 func (r *Reply) Remind(at logic.Micros) { putMillis(r.record(69), at) }
 
--- /dev/null
+++ b/internal/wire/reply_test.go
@@ -0,0 +1,38 @@
+package wire
+
+import (
+	"encoding/hex"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The records as the wire's page shows them, or as its tables lay them out.
+func TestActionsStandAsTheWireLaysThemOut(t *testing.T) {
+	r := &Reply{}
+	r.reset()
+	r.Speak(3)
+	r.Send(0x000a33525d3a91c4, 0x03124a07, 80000)
+	r.Publish(0xffff, []byte("hi 7"))
+	r.Retract(0x000a33525d3a91c4, 2)
+	r.Probe(0x03124a07)
+	r.ShutIdle(0x03124a07)
+	r.AskList()
+	r.Log("two")
+	reply := r.finish(12)
+	want := []string{
+		"4100000003",
+		"47000a33525d3a91c4405400000000000003124a07",
+		"46ffff0000000000000004",
+		"4e000a33525d3a91c402",
+		"4303124a07",
+		"4903124a07",
+		"44",
+		"4c0000000400000003",
+	}
+	for i, record := range want {
+		at := reply[replyHeader+i*actionSize:]
+		require.Equal(t, record, hex.EncodeToString(at[:len(record)/2]), "record %d", i)
+	}
+	require.Equal(t, "hi 7two", string(reply[len(reply)-7:]))
+}
