--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -95,7 +95,9 @@
 func (r *Reply) AskList() { r.record(68) }
 
 // Probe tests a server, where the settings allow it.
-func (r *Reply) Probe(server logic.ServerID) { binary.BigEndian.PutUint32(r.record(67), uint32(server)) }
+func (r *Reply) Probe(server logic.ServerID) {
+	binary.BigEndian.PutUint32(r.record(67), uint32(server))
+}
 
 // Retract ends the wait on one dispatch, where the settings allow it.
 func (r *Reply) Retract(id logic.AttachmentID, dispatch byte) {
@@ -105,7 +107,9 @@
 }
 
 // ShutIdle closes idle connections to a server.
-func (r *Reply) ShutIdle(server logic.ServerID) { binary.BigEndian.PutUint32(r.record(73), uint32(server)) }
+func (r *Reply) ShutIdle(server logic.ServerID) {
+	binary.BigEndian.PutUint32(r.record(73), uint32(server))
+}
 
 // Publish sends bytes to one other instance, or to all where all bits of the target are set.
 func (r *Reply) Publish(target uint16, data []byte) {
