Cold budget: the floor is one of all proxies together, chance settles fractions

Cause: each of 944 proxies was always allowed one connection a window, and set-ups dropped again counted as what a server bears.

--- a/internal/wire/opening.go
+++ b/internal/wire/opening.go
@@ -104,7 +104,7 @@
 	}
 	f, err := p.numbers("my-number", "zone", "invariants.ask-within-ms",
 		"invariants.start-capacity", "invariants.cold-ms", "invariants.fall-multiple", "invariants.fall-ms",
-		"limits.max-dispatches", "prices.cross-zone", "limits.max-retry-after-ms")
+		"limits.max-dispatches", "prices.cross-zone", "limits.max-retry-after-ms", "group-size")
 	if err != nil {
 		return nil, err
 	}
@@ -112,7 +112,7 @@
 	if p["limits.retry-after"] == "true" {
 		leave.Advice = micros(f[9])
 	}
-	return logic.New(int64(seed), int(f[0]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
+	return logic.New(int64(seed), int(f[0]), int(f[10]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
 		logic.Listing{Subscribe: p["membership-mode"] == "subscribe", Within: micros(f[2])},
 		logic.ColdRule{Start: f[3], Warm: micros(f[4]), Multiple: f[5], Window: micros(f[6])}, leave, f[8]), nil
 }
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -30,7 +30,7 @@
 		products = []logic.Product{status}
 	}
 	f := &fake{T: t, now: 100 * sec}
-	f.Balancer = logic.New(1, 0, 0, products, logic.ByNominalSize,
+	f.Balancer = logic.New(1, 0, 1, 0, products, logic.ByNominalSize,
 		logic.Listing{Subscribe: true, Within: 10 * sec},
 		logic.ColdRule{Start: 0.3, Warm: 9 * sec, Multiple: 3, Window: 3 * sec},
 		logic.Leave{Dispatches: 5, Advice: sec}, 0.2)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	leave    Leave
 	crossing float64 // the price of a crossing, in parts of an attachment's gain
 	weighing Weighing
+	proxies  float64 // instances that place on the same servers, this one included
 
 	servers  []*server // in the order of the list
 	byID     map[ServerID]*server
@@ -83,7 +84,8 @@
 	delay        Micros
 	delayAt      Micros
 	falling      bool
-	recent       []sent // sends while cold
+	recent       []sent  // sends while cold
+	chance       float64 // settles fractions of a connection in the cold budget
 }
 
 type sent struct {
@@ -108,12 +110,12 @@
 }
 
 // New starts an instance. Each part brings its own few figures.
-func New(seed int64, number int, zone ZoneID, products []Product, weighing Weighing,
+func New(seed int64, number, proxies int, zone ZoneID, products []Product, weighing Weighing,
 	list Listing, cold ColdRule, leave Leave, crossing float64) *Balancer {
 	return &Balancer{
 		zone: zone, rng: rand.New(rand.NewSource(seed)),
 		products: products, weighing: weighing, list: list, cold: cold, leave: leave, crossing: crossing,
-		next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
+		proxies: float64(max(proxies, 1)), next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
 		loads: map[ClientKey]float64{},
 	}
 }
@@ -147,7 +149,7 @@
 	}
 	fresh := launched > s.launched && now-launched < b.cold.Warm
 	if state == Ready && (fresh || s.state == Gone) {
-		s.tries, s.fails, s.shunned, s.strikes = 0, 0, 0, 0
+		s.tries, s.fails, s.shunned, s.strikes, s.chance = 0, 0, 0, 0, b.rng.Float64()
 		b.startAtMean(s)
 	}
 	s.state, s.launched = state, launched
@@ -334,9 +336,11 @@
 	}
 	share := b.cold.Start + (1-b.cold.Start)*float64(age)/float64(b.cold.Warm)
 	// A warm server bears at least what each is sent on average, so that rate stands for its capacity.
-	// Half of it is left unused against chance and against heavy attachments.
+	// Half of it is left unused against chance and against heavy attachments. Guards against hundreds of
+	// proxies with one connection each: below one, chance tells which proxy has it, and the one that is
+	// always allowed is one of all proxies together.
 	budget := 0.5 * b.cold.Multiple * share * b.rate * float64(b.cold.Window) / float64(Second)
-	return spent+b.unitsOf(a) <= max(budget, 1)
+	return spent+b.unitsOf(a)*(1-s.chance) <= max(budget, 1/b.proxies)
 }
 
 // mayGo keeps the rule on effects: where an earlier dispatch may have run, only a server that knows its
@@ -520,6 +524,9 @@
 	if o != OK && o != Cancelled && o != Moot {
 		b.failed(now, s, a, o)
 	}
+	if stood && o == Reset {
+		b.placed -= a.units // what is dropped again is no sign of what a server can bear
+	}
 	if !stood && !o.neverRan() && a.ran == nil {
 		a.ran, a.ranSince = s, a.sentAt
 	}
@@ -559,7 +566,7 @@
 			s.pace = min(1, s.pace*1.005)
 		}
 	}
-	b.rate += (b.placed*float64(Second/tick)/float64(max(b.ready(), 1)) - b.rate) / 40
+	b.rate += (max(b.placed, 0)*float64(Second/tick)/float64(max(b.ready(), 1)) - b.rate) / 40
 	b.placed = 0
 }
 
@@ -576,6 +583,7 @@
 	}
 	if s.launched != 0 && now-s.launched < b.cold.Warm {
 		s.recent = append(s.recent, sent{now, a.units})
+		s.chance = b.rng.Float64()
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -288,7 +288,7 @@
 
 func TestPacketsOfAnOpenConnectionReturnToTheirServer(t *testing.T) {
 	f := open(t, 4)
-	f.Balancer = logic.New(1, 0, 0, []logic.Product{status}, logic.Unweighed, logic.Listing{},
+	f.Balancer = logic.New(1, 0, 1, 0, []logic.Product{status}, logic.Unweighed, logic.Listing{},
 		logic.ColdRule{}, logic.Leave{Dispatches: 5, Through: true}, 0)
 	for id := logic.ServerID(1); id <= 4; id++ {
 		f.tell(id, logic.Ready, 0)
