Homes of groups by hash, ties by chance, another server before the same again

Cause: at full size a proxy holds ten connections over eighty servers. Most own counts are 0, so the largest weight drew all, and each proxy put a group on another server, every one of which pays for it.

--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -26,11 +26,16 @@
 
 // open starts an instance that knows so many ready servers, numbered from 1, each of weight 1 in zone 0.
 func open(t *testing.T, servers int, products ...logic.Product) *fake {
+	return openSeeded(t, 1, 1, servers, products...)
+}
+
+// openSeeded starts one of so many instances.
+func openSeeded(t *testing.T, seed int64, proxies, servers int, products ...logic.Product) *fake {
 	if len(products) == 0 {
 		products = []logic.Product{status}
 	}
 	f := &fake{T: t, now: 100 * sec}
-	f.Balancer = logic.New(1, 0, 1, 0, products, logic.ByNominalSize,
+	f.Balancer = logic.New(seed, int(seed), proxies, 0, products, logic.ByNominalSize,
 		logic.Listing{Subscribe: true, Within: 10 * sec},
 		logic.ColdRule{Start: 0.3, Warm: 9 * sec, Multiple: 3, Window: 3 * sec},
 		logic.Leave{Dispatches: 5, Advice: sec}, 0.2)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,8 @@
 	byID     map[ServerID]*server
 	next     int     // rotating start of the scan, at first the own index
 	out      int     // dispatches out
-	weight   float64 // mean weight of the ready servers
+	ready    int     // ready servers
+	weight   float64 // their mean weight
 	setup    pace
 	unit     pace    // load of a connection, microseconds a second
 	crowd    float64 // share of the ready servers that are late or shut, at most; wearing off
@@ -45,6 +46,8 @@
 	rate     float64
 	placed   float64
 	holders  map[ClientKey]ServerID
+	members  map[GroupID]int       // own connections of each group
+	held     int                   // own connections
 	loads    map[ClientKey]float64 // of clients that may come again
 	stood    Micros                // when a set-up last stood
 	failing  []ServerID            // servers on which a set-up failed since the last that stood
@@ -116,7 +119,7 @@
 		zone: zone, rng: rand.New(rand.NewSource(seed)),
 		products: products, weighing: weighing, list: list, cold: cold, leave: leave, crossing: crossing,
 		proxies: float64(max(proxies, 1)), next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
-		loads: map[ClientKey]float64{},
+		loads: map[ClientKey]float64{}, members: map[GroupID]int{},
 	}
 }
 
@@ -168,14 +171,15 @@
 		}
 	}
 	b.follow.whole = false
-	sum, n := 0.0, 0
+	sum := 0.0
+	b.ready = 0
 	for _, s := range b.servers {
 		if s.state == Ready {
-			sum, n = sum+s.weight, n+1
+			sum, b.ready = sum+s.weight, b.ready+1
 		}
 	}
-	if n > 0 {
-		b.weight = sum / float64(n)
+	if b.ready > 0 {
+		b.weight = sum / float64(b.ready)
 	}
 	if !cached && b.follow.asking {
 		b.follow.asking, b.follow.on, b.follow.misses = false, true, 0
@@ -202,9 +206,6 @@
 
 // ---- the pick
 
-// fill is how full a server is in the own count: load over weight, dearer where a crossing is.
-func (b *Balancer) fill(s *server) float64 { return (s.units + s.start) / b.size(s) }
-
 // size is what a server counts for beside the mean: its weight, times its pace as told by late messages, less
 // where a crossing is dear.
 func (b *Balancer) size(s *server) float64 {
@@ -222,16 +223,6 @@
 	needyCrossing = 3.2
 )
 
-func (b *Balancer) ready() int {
-	n := 0
-	for _, s := range b.servers {
-		if s.state == Ready {
-			n++
-		}
-	}
-	return n
-}
-
 // level is the fill that all ready servers would have if the own load lay evenly.
 func (b *Balancer) level(but *server) float64 {
 	units, size := 0.0, 0.0
@@ -278,7 +269,7 @@
 // mayTake tells whether a server may be sent this attachment now.
 func (b *Balancer) mayTake(now Micros, s *server, a *Attachment, full float64) bool {
 	return s.state == Ready && b.mayGo(now, s, a) && !s.late(now) && s.shut <= now &&
-		b.warmEnough(now, s, a) && b.fill(s) < full
+		b.warmEnough(now, s, a) && (s.units+s.start)/b.size(s) < full
 }
 
 // ill tells whether a server is passed over while another one may be had.
@@ -292,7 +283,7 @@
 	u, full := b.unitsOf(a), b.full()
 	for i := range n {
 		s := b.servers[(b.next+i)%n]
-		ill := s.ill(now)
+		ill := s.ill(now) || s == a.last
 		if !b.mayTake(now, s, a, full) || best != nil && ill && !bestIll {
 			continue
 		}
@@ -313,14 +304,28 @@
 	return max(1.5*level, level+3)
 }
 
+// cost is how full a server would be. How much of the newcomer counts is left to chance, so that servers
+// with equal counts are drawn by their size: where most own counts are 0, the largest would have all.
 func (b *Balancer) cost(s *server, a *Attachment, u float64) float64 {
-	u += s.units + s.start
+	u = s.units + s.start + u*b.rng.Float64()
 	if a.Group != 0 && s.groups[a.Group] == 0 {
-		u += groupUnits
+		share := float64(b.members[a.Group]+1) / float64(b.held+1)
+		u += min(groupUnits, homing*place(a.Group, s.id)/share)
 	}
 	return u / b.size(s)
 }
 
+// homing is how many connections fuller a server counts for each one before it in the group's own order.
+const homing = 2.0
+
+// place is a server's place in a group's order, evenly spread from 0 to 1.
+func place(group GroupID, id ServerID) float64 {
+	x := uint64(group) ^ uint64(id)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
+}
+
 // warmEnough keeps the own part of the budget of a server that has just started.
 func (b *Balancer) warmEnough(now Micros, s *server, a *Attachment) bool {
 	age := now - s.launched
@@ -365,8 +370,7 @@
 
 // ---- the three questions
 
-// holdFor is how long an attachment waits for a server when none may take it.
-const holdFor = 50 * Millisecond
+const holdFor = 50 * Millisecond // how long an attachment waits when no server may take it
 
 // Where says where to send an attachment, or not yet, or never.
 func (b *Balancer) Where(now Micros, a *Attachment) Answer {
@@ -412,26 +416,18 @@
 // trouble the bar rises towards the mean.
 const poorBelow = 0.5
 
-// plight is what on-call staff are told of in the log, when it changes.
-type plight struct {
-	crowded, common bool
-	ill             int
-}
-
-func (b *Balancer) report(now Micros) {
-	told := plight{crowded: b.crowd > crowdedFrom, common: b.common()}
-	for _, s := range b.servers {
-		if s.state == Ready && s.ill(now) {
-			told.ill++
-		}
-	}
+// report tells on-call staff, in the log, when the plight changes.
+func (b *Balancer) report() {
+	told := plight{b.crowd > crowdedFrom, b.common()}
 	if told != b.told {
 		b.told = told
 		b.errands = append(b.errands, Errand{Task: Log, Words: fmt.Sprintf(
-			"crowded: %t, common cause: %t, servers passed over: %d", told.crowded, told.common, told.ill)})
+			"crowded: %t, common cause: %t", told.crowded, told.common)})
 	}
 }
 
+type plight struct{ crowded, common bool }
+
 // measure finds how crowded the fleet and the own zone are, and what a unit of load earns.
 func (b *Balancer) measure(now Micros) {
 	var all, bad, own, ownBad, gain, units float64
@@ -511,8 +507,7 @@
 	return min(left, max(usual, p.Quoted*2/5))
 }
 
-// stoodLately: a store that was quick a second ago is not what holds a set-up up.
-const stoodLately = Second
+const stoodLately = Second // a store that was quick a second ago is not what holds a set-up up
 
 // After says what to do after an outcome; over tells that the attachment has had its final answer.
 func (b *Balancer) After(now Micros, a *Attachment, o Outcome, over bool) Answer {
@@ -539,8 +534,7 @@
 	return b.Where(now, a)
 }
 
-// tick is the period of the one timer of an instance.
-const tick = 250 * Millisecond
+const tick = 250 * Millisecond // the period of the one timer
 
 // Wait says how long to wait and hands out the errands that are due.
 func (b *Balancer) Wait(now Micros) (Micros, []Errand) {
@@ -550,7 +544,7 @@
 		b.wearOff(now)
 		b.followList(now)
 		b.measure(now)
-		b.report(now)
+		b.report()
 		b.relieve(now)
 	}
 	return b.nextTick - now, b.errands
@@ -566,20 +560,22 @@
 			s.pace = min(1, s.pace*1.005)
 		}
 	}
-	b.rate += (max(b.placed, 0)*float64(Second/tick)/float64(max(b.ready(), 1)) - b.rate) / 40
+	b.rate += (max(b.placed, 0)*float64(Second/tick)/float64(max(b.ready, 1)) - b.rate) / 40
 	b.placed = 0
 }
 
 // ---- counting
 
 func (b *Balancer) put(now Micros, s *server, a *Attachment) {
-	a.on, a.sentAt, a.units = s, now, b.unitsOf(a)
+	a.on, a.last, a.sentAt, a.units = s, s, now, b.unitsOf(a)
 	a.sends++
 	s.units += a.units
 	s.waiting = append(s.waiting, a)
 	b.out++
+	b.held++
 	if a.Group != 0 {
 		s.groups[a.Group]++
+		b.members[a.Group]++
 	}
 	if s.launched != 0 && now-s.launched < b.cold.Warm {
 		s.recent = append(s.recent, sent{now, a.units})
@@ -594,7 +590,11 @@
 		return
 	}
 	s.units -= a.units
+	b.held--
 	if a.Group != 0 {
+		if b.members[a.Group]--; b.members[a.Group] == 0 {
+			delete(b.members, a.Group)
+		}
 		if s.groups[a.Group]--; s.groups[a.Group] == 0 {
 			delete(s.groups, a.Group)
 		}
@@ -727,8 +727,7 @@
 		b.failing = append(b.failing, s.id)
 	}
 	if o == Reset || o == Full {
-		// Guards against a storm: a server that drops its newest has more than it can do, and each of them
-		// comes again at once. It is left alone for 0.5 s, doubling to 8 s.
+		// Guards against a storm: what a full server drops comes again at once. 0.5 s, doubling to 8 s.
 		s.sheds = min(s.sheds+1, 5)
 		s.shut = max(s.shut, b.around(now, Second/4<<s.sheds))
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -236,6 +236,54 @@
 	}
 }
 
+// A group's members arrive at many proxies that know nothing of each other.
+func TestProxiesAgreeOnTheHomeOfAGroup(t *testing.T) {
+	home := func(group logic.GroupID, seed int64) logic.ServerID {
+		f := openSeeded(t, seed, 100, 40)
+		a := f.arrive(0)
+		a.Group = group
+		return f.send(a).Server
+	}
+	same := 0
+	homes := map[logic.ServerID]bool{}
+	for group := logic.GroupID(1); group <= 20; group++ {
+		first := home(group, 1)
+		homes[first] = true
+		if home(group, 2) == first {
+			same++
+		}
+	}
+	require.GreaterOrEqual(t, same, 14)
+	require.Greater(t, len(homes), 10, "groups have homes of their own")
+}
+
+// Weights are the same at all proxies, and most have no connection on most servers.
+func TestManyProxiesWithoutConnectionsDoNotHerdOnTheLargest(t *testing.T) {
+	firsts := map[logic.ServerID]int{}
+	for seed := range int64(60) {
+		f := openSeeded(t, seed, 60, 9)
+		f.Listed(f.now, 10, 0, 10, logic.Ready, 3, 0)
+		f.ListDone(f.now, false)
+		firsts[f.send(f.arrive(0)).Server]++
+	}
+	require.Less(t, firsts[10], 30)
+	require.Greater(t, firsts[10], 5, "it still bears more than another")
+}
+
+// A newcomer is seen by all proxies at once.
+func TestManyProxiesShareTheBudgetOfAColdServer(t *testing.T) {
+	sent := 0
+	for seed := range int64(60) {
+		f := openSeeded(t, seed, 60, 0)
+		f.tell(1, logic.Ready, f.now)
+		f.ListDone(f.now, false)
+		if f.Where(f.now, f.arrive(0)).Verdict == logic.Send {
+			sent++
+		}
+	}
+	require.Less(t, sent, 6)
+}
+
 func TestAClientThatComesBackWeighsWhatItWeighed(t *testing.T) {
 	f := open(t, 2)
 	on := f.fill(10)
--- a/logic/types.go
+++ b/logic/types.go
@@ -149,6 +149,7 @@
 	Limit   Micros // the hard limit
 
 	on       *server // where the dispatch is out or the connection stands
+	last     *server // where it was sent last
 	sentAt   Micros
 	stands   bool
 	sends    int
