--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -249,8 +249,8 @@
 			return fmt.Errorf("server state %d is unknown", state)
 		}
 		weight := float64(math.Float32frombits(e.u32(11)))
-		in.Listed(f.now, e.server(0), logic.ZoneID(e.u16(4)), logic.CellID(e.u16(8)), states[state], weight,
-			e.micros(15))
+		in.Listed(f.now, e.server(0), logic.ZoneID(e.u16(4)), logic.ModelID(e.u16(6)), logic.CellID(e.u16(8)),
+			states[state], weight, e.micros(15))
 	}
 	in.ListDone(f.now, scope == 1)
 	return nil
@@ -290,6 +290,7 @@
 	a := &logic.Attachment{ID: r.attachment(1), Product: logic.ProductID(product), Came: now}
 	a.Limit = now + r.micros(left)
 	a.MidFlow = r.u16(bits)&8 != 0
+	a.Back = r.u16(bits)&16 != 0
 	if r.u16(bits)&1 != 0 {
 		a.Hint = 1000 * r.float(hint)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,7 +15,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 )
 
 // Balancer is one instance of the decisions.
@@ -46,8 +45,9 @@
 	rate     float64
 	placed   float64
 	holders  map[ClientKey]ServerID
-	members  map[GroupID]int       // own connections of each group
-	held     int                   // own connections
+	members  map[GroupID]int // own connections of each group
+	held     int             // own connections
+	models   map[ModelID]*kind
 	loads    map[ClientKey]float64 // of clients that may come again
 	stood    Micros                // when a set-up last stood
 	failing  []ServerID            // servers on which a set-up failed since the last that stood
@@ -56,6 +56,9 @@
 	nextTick Micros
 }
 
+// kind sums up what is known of the servers of a model.
+type kind struct{ paces, servers float64 }
+
 // following is the state of the calls for the list.
 type following struct {
 	whole, asking, on bool // a whole list is being told; a call is out; the subscription stands
@@ -66,6 +69,7 @@
 type server struct {
 	id       ServerID
 	zone     ZoneID
+	kin      *kind
 	cell     CellID
 	state    State
 	weight   float64
@@ -81,8 +85,7 @@
 	tries, fails float64
 	shunned      Micros // passed over until then, for its share of failures
 	strikes      int
-	shut         Micros // takes nothing until then, for it has more than it can do
-	sheds        int
+	shut         Micros  // takes nothing until then, for it has more than it can do
 	pace         float64 // what it is seen to do against its weight; 1 at first
 	delay        Micros
 	delayAt      Micros
@@ -118,8 +121,9 @@
 	return &Balancer{
 		zone: zone, rng: rand.New(rand.NewSource(seed)),
 		products: products, weighing: weighing, list: list, cold: cold, leave: leave, crossing: crossing,
-		proxies: float64(max(proxies, 1)), next: number, weight: 1, byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
-		loads: map[ClientKey]float64{}, members: map[GroupID]int{},
+		proxies: float64(max(proxies, 1)), next: number, weight: 1,
+		byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
+		loads: map[ClientKey]float64{}, members: map[GroupID]int{}, models: map[ModelID]*kind{},
 	}
 }
 
@@ -137,8 +141,8 @@
 }
 
 // Listed tells one entry of the list.
-func (b *Balancer) Listed(now Micros, id ServerID, zone ZoneID, cell CellID, state State, weight float64,
-	launched Micros) {
+func (b *Balancer) Listed(now Micros, id ServerID, zone ZoneID, model ModelID, cell CellID, state State,
+	weight float64, launched Micros) {
 	s := b.byID[id]
 	if s == nil {
 		s = &server{id: id, groups: map[GroupID]int{}, pace: 1}
@@ -146,7 +150,10 @@
 		b.servers = append(b.servers, s)
 		s.state = Gone
 	}
-	s.zone, s.cell, s.weight, s.listed = zone, cell, 1, true
+	if b.models[model] == nil {
+		b.models[model] = &kind{}
+	}
+	s.zone, s.kin, s.cell, s.weight, s.listed = zone, b.models[model], cell, 1, true
 	if b.weighing != Unweighed && weight > 0 {
 		s.weight = weight
 	}
@@ -159,7 +166,15 @@
 }
 
 // startAtMean guards against a newcomer drawing every attachment: it starts at the others' mean.
-func (b *Balancer) startAtMean(s *server) { s.start = max(0, b.level(s)*b.size(s)-s.units) }
+func (b *Balancer) startAtMean(new *server) {
+	units, size := 0.0, 0.0
+	for _, s := range b.servers {
+		if s != new && s.state == Ready {
+			units, size = units+s.units+s.start, size+b.size(s)
+		}
+	}
+	new.start = max(0, units/max(size, 0.01)*b.size(new)-new.units)
+}
 
 // ListDone closes a list or a change and notes that the call was answered.
 func (b *Balancer) ListDone(now Micros, cached bool) {
@@ -209,7 +224,11 @@
 // size is what a server counts for beside the mean: its weight, times its pace as told by late messages, less
 // where a crossing is dear.
 func (b *Balancer) size(s *server) float64 {
-	size := s.weight / b.weight * s.pace
+	pace := s.pace
+	if len(s.standing) == 0 && s.kin.servers > 0 {
+		pace = min(pace, s.kin.paces/s.kin.servers)
+	}
+	size := s.weight / b.weight * pace
 	if s.zone != b.zone {
 		size *= max(0.05, 1-(calmCrossing-b.home*(calmCrossing-needyCrossing))*b.crossing)
 	}
@@ -223,17 +242,6 @@
 	needyCrossing = 3.2
 )
 
-// level is the fill that all ready servers would have if the own load lay evenly.
-func (b *Balancer) level(but *server) float64 {
-	units, size := 0.0, 0.0
-	for _, s := range b.servers {
-		if s != but && s.state == Ready {
-			units, size = units+s.units+s.start, size+b.size(s)
-		}
-	}
-	return units / max(size, 0.01)
-}
-
 // unitsOf is an attachment's load in mean connections.
 func (b *Balancer) unitsOf(a *Attachment) float64 {
 	level := a.level
@@ -254,22 +262,19 @@
 // costs is told nowhere; it is paid for as long as one member stays, so it is taken for several connections.
 const groupUnits = 10.0
 
-// lateAfter is how long a word on late messages holds: they come once a second.
-const lateAfter = 2500 * Millisecond
+const lateAfter = 2500 * Millisecond // how long a word on late messages holds: they come once a second
 
 func (s *server) late(now Micros) bool { return s.delay > 0 && now-s.delayAt < lateAfter }
 
-// stuckAfter: a set-up takes tens of milliseconds, and a hung server must not go on drawing for seconds.
-const stuckAfter = 300 * Millisecond
-
+// stuck guards against a hung server drawing for seconds; a set-up takes tens of milliseconds.
 func (s *server) stuck(now Micros) bool {
-	return len(s.waiting) > 0 && now-s.waiting[0].sentAt > stuckAfter
+	return len(s.waiting) > 0 && now-s.waiting[0].sentAt > 300*Millisecond
 }
 
 // mayTake tells whether a server may be sent this attachment now.
-func (b *Balancer) mayTake(now Micros, s *server, a *Attachment, full float64) bool {
+func (b *Balancer) mayTake(now Micros, s *server, a *Attachment) bool {
 	return s.state == Ready && b.mayGo(now, s, a) && !s.late(now) && s.shut <= now &&
-		b.warmEnough(now, s, a) && (s.units+s.start)/b.size(s) < full
+		b.warmEnough(now, s, a)
 }
 
 // ill tells whether a server is passed over while another one may be had.
@@ -280,11 +285,11 @@
 	n := len(b.servers)
 	var best *server
 	bestCost, bestIll := 0.0, false
-	u, full := b.unitsOf(a), b.full()
+	u := b.unitsOf(a)
 	for i := range n {
 		s := b.servers[(b.next+i)%n]
 		ill := s.ill(now) || s == a.last
-		if !b.mayTake(now, s, a, full) || best != nil && ill && !bestIll {
+		if !b.mayTake(now, s, a) || best != nil && ill && !bestIll {
 			continue
 		}
 		cost := b.cost(s, a, u)
@@ -296,26 +301,28 @@
 	return best
 }
 
-// full is the fill at which a server takes no more. It guards against a herd: where many servers are shut,
-// the rest would get all and fall in their turn. Above the level of all ready servers, shut ones included,
-// there is room for half as much again, and for a few connections where counts are small.
-func (b *Balancer) full() float64 {
-	level := b.level(nil)
-	return max(1.5*level, level+3)
-}
-
 // cost is how full a server would be. How much of the newcomer counts is left to chance, so that servers
 // with equal counts are drawn by their size: where most own counts are 0, the largest would have all.
 func (b *Balancer) cost(s *server, a *Attachment, u float64) float64 {
-	u = s.units + s.start + u*b.rng.Float64()
+	u = s.units + s.start + max(u-1, 0) + b.rng.Float64()
+	if s.tries > 0.01 {
+		u -= 0.5 // among equals a server in use comes first
+	}
 	if a.Group != 0 && s.groups[a.Group] == 0 {
-		share := float64(b.members[a.Group]+1) / float64(b.held+1)
-		u += min(groupUnits, homing*place(a.Group, s.id)/share)
+		// Guards against as many homes of a group as there are proxies: all know the same order of servers
+		// for it, and how far down to go by the share of their own connections that the group has.
+		share := float64(b.members[a.Group]+1) / float64(b.held+10)
+		step := homing
+		if a.Back {
+			step /= 4 // its last server was likely an early one, and is in trouble
+		}
+		u += min(groupUnits, groupUnits/b.proxies+step*place(a.Group, s.id)/share)
 	}
 	return u / b.size(s)
 }
 
-// homing is how many connections fuller a server counts for each one before it in the group's own order.
+// homing is how many connections fuller a server counts that comes later in the group's own order by as
+// many servers as the group fills. Half of it spread groups too far; twice as much filled their homes.
 const homing = 2.0
 
 // place is a server's place in a group's order, evenly spread from 0 to 1.
@@ -409,12 +416,9 @@
 	return !a.MidFlow && b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < max(poorBelow, b.crowd)*b.worth
 }
 
-// crowdedFrom: a fifth of the servers in trouble is more than single ones; a tenth bars on calm days, too.
-const crowdedFrom = 0.2
+const crowdedFrom = 0.2 // more than single servers; a tenth bars on calm days, too
 
-// poorBelow: half of the mean bars the few that bring most of the load; where nearly all servers are in
-// trouble the bar rises towards the mean.
-const poorBelow = 0.5
+const poorBelow = 0.5 // bars the few that bring most of the load; the bar rises with the trouble
 
 // report tells on-call staff, in the log, when the plight changes.
 func (b *Balancer) report() {
@@ -430,25 +434,31 @@
 
 // measure finds how crowded the fleet and the own zone are, and what a unit of load earns.
 func (b *Balancer) measure(now Micros) {
+	for _, k := range b.models {
+		*k = kind{}
+	}
 	var all, bad, own, ownBad, gain, units float64
 	for _, s := range b.servers {
 		trouble := 0.0
 		if s.late(now) || s.shut > now {
 			trouble = 1
 		}
-		if s.state == Ready {
+		if s.state == Ready && (trouble > 0 || len(s.standing) > 0) {
 			all, bad = all+1, bad+trouble
 			if s.zone == b.zone {
 				own, ownBad = own+1, ownBad+trouble
 			}
 		}
+		if len(s.standing) > 0 || s.pace < 1 {
+			s.kin.paces, s.kin.servers = s.kin.paces+s.pace, s.kin.servers+1
+		}
 		for _, a := range s.standing {
 			gain += a.units * b.worthOf(a, a.units)
 			units += a.units
 		}
 	}
-	b.crowd = max(bad/max(all, 1), b.crowd*0.92)
-	b.home = max(min(1, 4*ownBad/max(own, 1)), b.home*0.98)
+	b.crowd = max(bad/(all+2), b.crowd*0.92)
+	b.home = max(min(1, 4*ownBad/(own+2)), b.home*0.98)
 	if units > 0 {
 		b.worth = gain / units
 	}
@@ -599,14 +609,10 @@
 			delete(s.groups, a.Group)
 		}
 	}
-	if a.stands {
-		last := len(s.standing) - 1
-		s.standing[a.slot] = s.standing[last]
-		s.standing[a.slot].slot = a.slot
-		s.standing = s.standing[:last]
-	} else {
-		b.settle(s, a)
+	if i := slices.Index(s.standing, a); i >= 0 {
+		s.standing = slices.Delete(s.standing, i, i+1)
 	}
+	b.settle(s, a)
 	if len(s.standing)+len(s.waiting) == 0 {
 		s.units = 0
 	}
@@ -614,12 +620,9 @@
 }
 
 func (b *Balancer) settle(s *server, a *Attachment) {
-	for i, w := range s.waiting {
-		if w == a {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			b.out--
-			return
-		}
+	if i := slices.Index(s.waiting, a); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+		b.out--
 	}
 }
 
@@ -636,14 +639,13 @@
 	s.strikes, b.stood = 0, now
 	b.failing = b.failing[:max(len(b.failing)-1, 0)]
 	s.tries++
-	s.sheds = max(s.sheds-1, 0)
 }
 
 func (b *Balancer) stand(s *server, a *Attachment) {
 	if b.leave.Through {
 		b.holders[a.Key] = s.id
 	}
-	a.stands, a.slot = true, len(s.standing)
+	a.stands = true
 	s.standing = append(s.standing, a)
 }
 
@@ -683,8 +685,7 @@
 	a.on.units += a.units
 }
 
-// manyLoads bounds the memory of loads; a few dozen bytes each keep it under a megabyte.
-const manyLoads = 10000
+const manyLoads = 10000 // a few dozen bytes each: under a megabyte
 
 // Delay tells how long a message takes at a server now.
 func (b *Balancer) Delay(now Micros, id ServerID, took Micros) {
@@ -692,19 +693,17 @@
 	if s == nil {
 		return
 	}
-	before := s.delay
-	s.delay, s.delayAt = 0, now
+	s.falling, s.delay, s.delayAt = took < s.delay, 0, now
 	if took < b.quickest()/3 {
 		return // a third of the quoted time is the lateness that is told of
 	}
-	s.delay, s.falling = took, took < before
+	s.delay = took
 	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
 	// messages takes 5% off its pace, up to 20% where they are very late; wearOff gives it back.
 	s.pace = max(slowest, s.pace*(1-0.05*min(float64(took)/float64(b.quickest()), 4)))
 }
 
-// slowest bounds the pace from below: a tenth is the worst that on-call staff have seen a server fall to.
-const slowest = 0.1
+const slowest = 0.1 // the worst pace that on-call staff have seen a server fall to
 
 // quickest is the shortest quoted time of a message.
 func (b *Balancer) quickest() Micros {
@@ -727,9 +726,9 @@
 		b.failing = append(b.failing, s.id)
 	}
 	if o == Reset || o == Full {
-		// Guards against a storm: what a full server drops comes again at once. 0.5 s, doubling to 8 s.
-		s.sheds = min(s.sheds+1, 5)
-		s.shut = max(s.shut, b.around(now, Second/4<<s.sheds))
+		// Guards against a storm: what a full server drops comes again at once. A second lets some work off;
+		// doubling it each time made no difference.
+		s.shut = max(s.shut, b.around(now, Second))
 	}
 	// One failure in two tries is out of line where half the fleet has none.
 	if s.share() > b.median()+0.3 {
@@ -755,7 +754,7 @@
 	if len(b.shares) == 0 {
 		return 0
 	}
-	sort.Float64s(b.shares)
+	slices.Sort(b.shares)
 	return b.shares[len(b.shares)/2]
 }
 
@@ -773,9 +772,9 @@
 		if !s.late(now) || s.falling || s.delay < from {
 			continue
 		}
-		// 4% a second of the own connections where messages are just late, 16% where they take four times as
-		// long: half of it left slow servers full, twice as much swung the load to and fro.
-		share := 0.04 * min(float64(s.delay)/float64(from), 4) * float64(tick) / float64(Second)
+		// 8% a second of the own connections where messages are just late, 32% where they take four times as
+		// long: half of it left slow servers full, half as much again swung the load of small fleets.
+		share := 0.08 * min(float64(s.delay)/float64(from), 4) * float64(tick) / float64(Second)
 		if a := s.heaviest(); a != nil && b.rng.Float64() < share*float64(len(s.standing)) {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
 		}
--- a/logic/types.go
+++ b/logic/types.go
@@ -145,6 +145,7 @@
 	Key     ClientKey
 	Hint    float64 // expected load in microseconds of work a second; 0 if none
 	MidFlow bool    // packets of an open connection
+	Back    bool    // the client comes again after a break or a move
 	Came    Micros
 	Limit   Micros // the hard limit
 
@@ -155,7 +156,6 @@
 	sends    int
 	units    float64 // its load in mean connections, as counted on its server
 	level    float64 // its load as last told, microseconds a second
-	slot     int     // its place among the server's connections
 	ran      *server // the first server on which it may have run
 	ranSince Micros
 }
