Late servers count one fuller, sheds are failures, moves by load

Causes: at full size nearly every server that a proxy knows is late in a crowd; those left were the ones it knows nothing of, so each newcomer waited a second or opened a new holding of its group. Moves hit many light connections and few heavy ones.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	weight   float64 // their mean weight
 	setup    pace
 	unit     pace    // load of a connection, microseconds a second
-	crowd    float64 // share of the ready servers that are late or shut, at most; wearing off
+	crowd    float64 // share of the ready servers that are late or ill, at most; wearing off
 	home     float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
 	worth    float64 // mean gain of a unit of load
 	told     plight
@@ -85,7 +85,6 @@
 	tries, fails float64
 	shunned      Micros // passed over until then, for its share of failures
 	strikes      int
-	shut         Micros  // takes nothing until then, for it has more than it can do
 	pace         float64 // what it is seen to do against its weight; 1 at first
 	delay        Micros
 	delayAt      Micros
@@ -273,8 +272,7 @@
 
 // mayTake tells whether a server may be sent this attachment now.
 func (b *Balancer) mayTake(now Micros, s *server, a *Attachment) bool {
-	return s.state == Ready && b.mayGo(now, s, a) && !s.late(now) && s.shut <= now &&
-		b.warmEnough(now, s, a)
+	return s.state == Ready && b.mayGo(now, s, a) && b.warmEnough(now, s, a)
 }
 
 // ill tells whether a server is passed over while another one may be had.
@@ -292,7 +290,7 @@
 		if !b.mayTake(now, s, a) || best != nil && ill && !bestIll {
 			continue
 		}
-		cost := b.cost(s, a, u)
+		cost := b.cost(now, s, a, u)
 		if best == nil || bestIll && !ill || cost < bestCost-1e-9 {
 			best, bestCost, bestIll = s, cost, ill
 		}
@@ -303,7 +301,7 @@
 
 // cost is how full a server would be. How much of the newcomer counts is left to chance, so that servers
 // with equal counts are drawn by their size: where most own counts are 0, the largest would have all.
-func (b *Balancer) cost(s *server, a *Attachment, u float64) float64 {
+func (b *Balancer) cost(now Micros, s *server, a *Attachment, u float64) float64 {
 	u = s.units + s.start + max(u-1, 0) + b.rng.Float64()
 	if s.tries > 0.01 {
 		u -= 0.5 // among equals a server in use comes first
@@ -318,6 +316,9 @@
 		}
 		u += min(groupUnits, groupUnits/b.proxies+step*place(a.Group, s.id)/share)
 	}
+	if s.late(now) {
+		u++ // one more connection's worth; three, or none, did worse on fleets of all sizes
+	}
 	return u / b.size(s)
 }
 
@@ -410,7 +411,7 @@
 }
 
 // barred guards against a fleet that serves nobody because it has let everybody in: while many servers are
-// late or shut, an attachment is pushed back that earns much less for its load than those that stand. Packets
+// late or ill, an attachment is pushed back that earns much less for its load than those that stand. Packets
 // of an open connection are load that is borne already.
 func (b *Balancer) barred(a *Attachment) bool {
 	return !a.MidFlow && b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < max(poorBelow, b.crowd)*b.worth
@@ -440,7 +441,7 @@
 	var all, bad, own, ownBad, gain, units float64
 	for _, s := range b.servers {
 		trouble := 0.0
-		if s.late(now) || s.shut > now {
+		if s.late(now) || s.shunned > now {
 			trouble = 1
 		}
 		if s.state == Ready && (trouble > 0 || len(s.standing) > 0) {
@@ -726,9 +727,8 @@
 		b.failing = append(b.failing, s.id)
 	}
 	if o == Reset || o == Full {
-		// Guards against a storm: what a full server drops comes again at once. A second lets some work off;
-		// doubling it each time made no difference.
-		s.shut = max(s.shut, b.around(now, Second))
+		// Guards against a storm: what a full server drops comes again at once. A second lets some work off.
+		s.shunned = max(s.shunned, b.around(now, Second))
 	}
 	// One failure in two tries is out of line where half the fleet has none.
 	if s.share() > b.median()+0.3 {
@@ -775,7 +775,7 @@
 		// 8% a second of the own connections where messages are just late, 32% where they take four times as
 		// long: half of it left slow servers full, half as much again swung the load of small fleets.
 		share := 0.08 * min(float64(s.delay)/float64(from), 4) * float64(tick) / float64(Second)
-		if a := s.heaviest(); a != nil && b.rng.Float64() < share*float64(len(s.standing)) {
+		if a := s.heaviest(); a != nil && b.rng.Float64() < share*s.units {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
 		}
 	}
