--- a/internal/wire/opening.go
+++ b/internal/wire/opening.go
@@ -104,7 +104,8 @@
 	}
 	f, err := p.numbers("my-number", "zone", "invariants.ask-within-ms",
 		"invariants.start-capacity", "invariants.cold-ms", "invariants.fall-multiple", "invariants.fall-ms",
-		"limits.max-dispatches", "prices.cross-zone", "limits.max-retry-after-ms", "group-size")
+		"limits.max-dispatches", "prices.cross-zone", "limits.max-retry-after-ms", "group-size",
+		"prices.moves")
 	if err != nil {
 		return nil, err
 	}
@@ -114,5 +115,5 @@
 	}
 	return logic.New(int64(seed), int(f[0]), int(f[10]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
 		logic.Listing{Subscribe: p["membership-mode"] == "subscribe", Within: micros(f[2])},
-		logic.ColdRule{Start: f[3], Warm: micros(f[4]), Multiple: f[5], Window: micros(f[6])}, leave, f[8]), nil
+		logic.ColdRule{Start: f[3], Warm: micros(f[4]), Multiple: f[5], Window: micros(f[6])}, leave, f[8], f[11]), nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,6 +27,7 @@
 	cold     ColdRule
 	leave    Leave
 	crossing float64 // the price of a crossing, in parts of an attachment's gain
+	moving   float64 // the price of a move
 	weighing Weighing
 	proxies  float64 // instances that place on the same servers, this one included
 
@@ -41,7 +42,7 @@
 	crowd    float64 // share of the ready servers that are late or ill, at most; wearing off
 	home     float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
 	worth    float64 // mean gain of a unit of load
-	told     plight
+	told     [2]bool
 	rate     float64
 	placed   float64
 	holders  map[ClientKey]ServerID
@@ -83,8 +84,7 @@
 	groups   map[GroupID]int
 
 	tries, fails float64
-	shunned      Micros // passed over until then, for its share of failures
-	strikes      int
+	shunned      Micros  // passed over until then, for its share of failures
 	pace         float64 // what it is seen to do against its weight; 1 at first
 	delay        Micros
 	delayAt      Micros
@@ -116,11 +116,11 @@
 
 // New starts an instance. Each part brings its own few figures.
 func New(seed int64, number, proxies int, zone ZoneID, products []Product, weighing Weighing,
-	list Listing, cold ColdRule, leave Leave, crossing float64) *Balancer {
+	list Listing, cold ColdRule, leave Leave, crossing, moving float64) *Balancer {
 	return &Balancer{
 		zone: zone, rng: rand.New(rand.NewSource(seed)),
-		products: products, weighing: weighing, list: list, cold: cold, leave: leave, crossing: crossing,
-		proxies: float64(max(proxies, 1)), next: number, weight: 1,
+		products: products, weighing: weighing, list: list, cold: cold, leave: leave,
+		crossing: crossing, moving: moving, proxies: float64(max(proxies, 1)), next: number, weight: 1,
 		byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
 		loads: map[ClientKey]float64{}, members: map[GroupID]int{}, models: map[ModelID]*kind{},
 	}
@@ -158,7 +158,7 @@
 	}
 	fresh := launched > s.launched && now-launched < b.cold.Warm
 	if state == Ready && (fresh || s.state == Gone) {
-		s.tries, s.fails, s.shunned, s.strikes, s.chance = 0, 0, 0, 0, b.rng.Float64()
+		s.tries, s.fails, s.shunned, s.chance = 0, 0, 0, b.rng.Float64()
 		b.startAtMean(s)
 	}
 	s.state, s.launched = state, launched
@@ -229,18 +229,13 @@
 	}
 	size := s.weight / b.weight * pace
 	if s.zone != b.zone {
-		size *= max(0.05, 1-(calmCrossing-b.home*(calmCrossing-needyCrossing))*b.crossing)
+		// At a price of a fifth other zones are all but closed while the own one is calm, and a third as large
+		// once it is in trouble.
+		size *= max(0.05, 1-(4.7-1.5*b.home)*b.crossing)
 	}
 	return size
 }
 
-// The price of a crossing, times these, is what another zone's servers count smaller by: at a price of a
-// fifth they are all but closed while the own zone is calm, and a third as large once it is in trouble.
-const (
-	calmCrossing  = 4.7
-	needyCrossing = 3.2
-)
-
 // unitsOf is an attachment's load in mean connections.
 func (b *Balancer) unitsOf(a *Attachment) float64 {
 	level := a.level
@@ -270,12 +265,11 @@
 	return len(s.waiting) > 0 && now-s.waiting[0].sentAt > 300*Millisecond
 }
 
-// mayTake tells whether a server may be sent this attachment now.
 func (b *Balancer) mayTake(now Micros, s *server, a *Attachment) bool {
 	return s.state == Ready && b.mayGo(now, s, a) && b.warmEnough(now, s, a)
 }
 
-// ill tells whether a server is passed over while another one may be had.
+// ill servers are passed over while another may be had; mayTake tells what may be sent to at all.
 func (s *server) ill(now Micros) bool { return s.shunned > now || s.stuck(now) }
 
 // pick scans from the rotating start for the least load per size, the newcomer's included.
@@ -299,13 +293,17 @@
 	return best
 }
 
-// cost is how full a server would be. How much of the newcomer counts is left to chance, so that servers
-// with equal counts are drawn by their size: where most own counts are 0, the largest would have all.
+// cost is how full a server would be. Up to one connection of it is left to chance, so that equal counts are
+// drawn by size: where most own counts are 0, the largest server would have all.
 func (b *Balancer) cost(now Micros, s *server, a *Attachment, u float64) float64 {
-	u = s.units + s.start + max(u-1, 0) + b.rng.Float64()
-	if s.tries > 0.01 {
-		u -= 0.5 // among equals a server in use comes first
+	chance := b.rng.Float64()
+	switch {
+	case s.zone != b.zone:
+		chance = 1
+	case s.tries > 0.01:
+		chance /= 4 // among equals a server in use comes first
 	}
+	u = s.units + s.start + max(u-1, 0) + chance
 	if a.Group != 0 && s.groups[a.Group] == 0 {
 		// Guards against as many homes of a group as there are proxies: all know the same order of servers
 		// for it, and how far down to go by the share of their own connections that the group has.
@@ -423,16 +421,14 @@
 
 // report tells on-call staff, in the log, when the plight changes.
 func (b *Balancer) report() {
-	told := plight{b.crowd > crowdedFrom, b.common()}
+	told := [2]bool{b.crowd > crowdedFrom, b.common()}
 	if told != b.told {
 		b.told = told
 		b.errands = append(b.errands, Errand{Task: Log, Words: fmt.Sprintf(
-			"crowded: %t, common cause: %t", told.crowded, told.common)})
+			"crowded: %t, common cause: %t", told[0], told[1])})
 	}
 }
 
-type plight struct{ crowded, common bool }
-
 // measure finds how crowded the fleet and the own zone are, and what a unit of load earns.
 func (b *Balancer) measure(now Micros) {
 	for _, k := range b.models {
@@ -468,11 +464,8 @@
 // common tells that set-ups fail for a common cause, as on a shared store that is slow: the last ones failed
 // on several servers with none standing between. More dispatches make that worse, so they go out one at a
 // time; each that stands takes one failure back.
-func (b *Balancer) common() bool { return len(b.failing) >= commonFrom }
-
-// commonFrom is the number of servers: one is ill by itself, and between two ill ones a set-up stands
-// elsewhere. Three or four found a slow store too late.
-const commonFrom = 2
+// Two servers make a common cause: one is ill by itself, and three or four found a slow store too late.
+func (b *Balancer) common() bool { return len(b.failing) >= 2 }
 
 // holder returns packets of an open connection to the server that holds it, where this instance knows it.
 func (b *Balancer) holder(now Micros, a *Attachment) *server {
@@ -637,7 +630,7 @@
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
 	b.placed += a.units
-	s.strikes, b.stood = 0, now
+	b.stood = now
 	b.failing = b.failing[:max(len(b.failing)-1, 0)]
 	s.tries++
 }
@@ -732,8 +725,7 @@
 	}
 	// One failure in two tries is out of line where half the fleet has none.
 	if s.share() > b.median()+0.3 {
-		s.strikes = min(s.strikes+1, 4)
-		s.shunned = b.around(now, Second<<(s.strikes-1))
+		s.shunned = b.around(now, 2*Second) // doubling it each time made no difference
 	}
 }
 
@@ -762,20 +754,25 @@
 
 // relieve moves connections off servers whose messages are late: they earn little there, and what piles up
 // would be worse. In a crowd only from twice that lateness on, for there is less room elsewhere. A
-// delay that falls needs no more: what has piled up takes its time to drain.
+// delay that falls needs no more: what has piled up takes its time to drain. Connections across zones are
+// moved home while the own zone is calm, where a crossing costs more than a move.
 func (b *Balancer) relieve(now Micros) {
 	from := b.quickest() / 3
 	if b.crowd > crowdedFrom {
 		from = b.quickest() * 2 / 3
 	}
 	for _, s := range b.servers {
-		if !s.late(now) || s.falling || s.delay < from {
-			continue
+		var a *Attachment
+		rate := 0.0
+		switch {
+		case s.late(now) && !s.falling && s.delay >= from:
+			// 8% a second of the own load where messages are just late, 32% where they take four times as
+			// long: half of it left slow servers full, half as much again swung the load of small fleets.
+			a, rate = s.heaviest(), 0.08*min(float64(s.delay)/float64(from), 4)*s.units
+		case len(s.standing) > 0 && s.zone != b.zone && b.crossing > b.moving && b.home < 0.25:
+			a, rate = s.standing[0], 0.2*float64(len(s.standing)) // within seconds
 		}
-		// 8% a second of the own connections where messages are just late, 32% where they take four times as
-		// long: half of it left slow servers full, half as much again swung the load of small fleets.
-		share := 0.08 * min(float64(s.delay)/float64(from), 4) * float64(tick) / float64(Second)
-		if a := s.heaviest(); a != nil && b.rng.Float64() < share*s.units {
+		if a != nil && b.rng.Float64() < rate*float64(tick)/float64(Second) {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -268,6 +268,49 @@
 	require.Less(t, sent, 6)
 }
 
+// A proxy holds connections on a few servers of a large fleet; the rest of a slow model are as slow.
+func TestServersOfASlowModelAreTakenForSlowUnseen(t *testing.T) {
+	f := openSeeded(t, 1, 60, 0)
+	for id := logic.ServerID(1); id <= 40; id++ {
+		f.Listed(f.now, id, 0, logic.ModelID(id%2), logic.CellID(id), logic.Ready, 1, 0)
+	}
+	f.ListDone(f.now, false)
+	var known []logic.ServerID
+	for on := range f.fill(10) {
+		if on%2 == 1 {
+			known = append(known, on)
+		}
+	}
+	f.late(400*ms, 5, known...)
+	slow, fast := 0, 0
+	for on, as := range f.fill(60) {
+		if on%2 == 1 {
+			slow += len(as)
+		} else {
+			fast += len(as)
+		}
+	}
+	require.Greater(t, fast, slow+slow/4)
+}
+
+// Connections that a proxy takes over may stand across zones for minutes.
+func TestConnectionsAcrossZonesMoveHomeWhileThatIsCalm(t *testing.T) {
+	f := open(t, 2)
+	f.Listed(f.now, 3, 1, 0, 3, logic.Ready, 1, 0)
+	f.ListDone(f.now, false)
+	for range 5 {
+		f.Carried(f.now, f.arrive(0), 3)
+	}
+	f.fill(4)
+	f.late(200*ms, 4, 1, 2)
+	for _, e := range f.errand {
+		require.False(t, e.Task == logic.Move && e.Attachment <= 5, "the own zone is in trouble")
+	}
+	f.errand = nil
+	f.pass(120 * sec)
+	require.Positive(t, f.count(logic.Move))
+}
+
 func TestAClientThatComesBackWeighsWhatItWeighed(t *testing.T) {
 	f := open(t, 2)
 	on := f.fill(10)
@@ -321,7 +364,7 @@
 func TestPacketsOfAnOpenConnectionReturnToTheirServer(t *testing.T) {
 	f := open(t, 4)
 	f.Balancer = logic.New(1, 0, 1, 0, []logic.Product{status}, logic.Unweighed, logic.Listing{},
-		logic.ColdRule{}, logic.Leave{Dispatches: 5, Through: true}, 0)
+		logic.ColdRule{}, logic.Leave{Dispatches: 5, Through: true}, 0, 0)
 	for id := logic.ServerID(1); id <= 4; id++ {
 		f.tell(id, logic.Ready, 0)
 	}
