--- a/logic/logic.go
+++ b/logic/logic.go
@@ -299,7 +299,7 @@
 	chance := b.rng.Float64()
 	switch {
 	case s.zone != b.zone:
-		chance = 1
+		chance = max(chance, 1-b.home)
 	case s.tries > 0.01:
 		chance /= 4 // among equals a server in use comes first
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -295,6 +295,24 @@
 	require.Greater(t, fast, 2*slow)
 }
 
+// One zone may have nearly all the traffic, and a proxy too few connections to count the other emptier.
+func TestAZoneInTroubleSendsAcrossEvenFromSmallCounts(t *testing.T) {
+	across := 0
+	for seed := range int64(20) {
+		f := openSeeded(t, seed, 60, 4)
+		for id := logic.ServerID(5); id <= 8; id++ {
+			f.Listed(f.now, id, 1, 0, 5, logic.Ready, 1, 0)
+		}
+		f.ListDone(f.now, false)
+		f.fill(4)
+		f.late(300*ms, 3, 1, 2, 3, 4)
+		if f.send(f.arrive(0)).Server > 4 {
+			across++
+		}
+	}
+	require.GreaterOrEqual(t, across, 15)
+}
+
 // Connections that a proxy takes over may stand across zones for minutes.
 func TestConnectionsAcrossZonesMoveHomeWhileThatIsCalm(t *testing.T) {
 	f := open(t, 2)
