Unknown clients that come back count two; late words hold 5 s and take 10% of the pace

Cause: what a late server loses is mostly heavy, and comes again at one of hundreds of proxies that has never seen it; it was let in as a mean one and tipped the next server.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,6 +11,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -238,12 +239,9 @@
 
 // unitsOf is an attachment's load in mean connections.
 func (b *Balancer) unitsOf(a *Attachment) float64 {
-	level := a.level
-	if level == 0 {
-		level = b.loads[a.Key]
-	}
-	if level == 0 {
-		level = a.Hint
+	level := cmp.Or(a.level, b.loads[a.Key], a.Hint)
+	if level <= 0 && a.Back {
+		return 2 // the heaviest are moved first and tip servers; three did as well, one let them in again
 	}
 	if level <= 0 || !b.unit.seen || b.unit.mean <= 0 {
 		return 1
@@ -256,7 +254,9 @@
 // costs is told nowhere; it is paid for as long as one member stays, so it is taken for several connections.
 const groupUnits = 10.0
 
-const lateAfter = 2500 * Millisecond // how long a word on late messages holds: they come once a second
+// lateAfter is how long a word on late messages holds. They come once a second while a connection is held
+// there, and then no more.
+const lateAfter = 5 * Second
 
 func (s *server) late(now Micros) bool { return s.delay > 0 && now-s.delayAt < lateAfter }
 
@@ -694,7 +694,7 @@
 	s.delay = took
 	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
 	// messages takes 5% off its pace, up to 20% where they are very late; wearOff gives it back.
-	s.pace = max(slowest, s.pace*(1-0.05*min(float64(took)/float64(b.quickest()), 4)))
+	s.pace = max(slowest, s.pace*(1-0.1*min(float64(took)/float64(b.quickest()), 4)))
 }
 
 const slowest = 0.1 // the worst pace that on-call staff have seen a server fall to
