--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,7 +40,7 @@
 	weight   float64 // their mean weight
 	setup    pace
 	unit     pace    // load of a connection, microseconds a second
-	crowd    float64 // share of the ready servers that are late or ill, at most; wearing off
+	crowd    float64 // share of the known servers that are late or passed over, at most; wearing off
 	home     float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
 	worth    float64 // mean gain of a unit of load
 	told     [2]bool
@@ -85,7 +85,7 @@
 	groups   map[GroupID]int
 
 	tries, fails float64
-	shunned      Micros  // passed over until then, for its share of failures
+	shunned      Micros  // passed over until then, for its failures or what it dropped
 	pace         float64 // what it is seen to do against its weight; 1 at first
 	delay        Micros
 	delayAt      Micros
@@ -300,8 +300,8 @@
 	switch {
 	case s.zone != b.zone:
 		chance = max(chance, 1-b.home)
-	case s.tries > 0.01:
-		chance /= 4 // among equals a server in use comes first
+	case s.tries > 0.01: // used within some 20 s
+		chance /= 4 // among equals a server in use comes first; half or a sixteenth did the same
 	}
 	u = s.units + s.start + max(u-1, 0) + chance
 	if a.Group != 0 && s.groups[a.Group] == 0 {
@@ -429,7 +429,7 @@
 	}
 }
 
-// measure finds how crowded the fleet and the own zone are, and what a unit of load earns.
+// measure finds how crowded the known fleet is (two more servers are taken to be well), and the worth of load.
 func (b *Balancer) measure(now Micros) {
 	for _, k := range b.models {
 		*k = kind{}
@@ -463,8 +463,7 @@
 
 // common tells that set-ups fail for a common cause, as on a shared store that is slow: the last ones failed
 // on several servers with none standing between. More dispatches make that worse, so they go out one at a
-// time; each that stands takes one failure back.
-// Two servers make a common cause: one is ill by itself, and three or four found a slow store too late.
+// time; each that stands takes one failure back. One server is ill by itself; four found a slow store too late.
 func (b *Balancer) common() bool { return len(b.failing) >= 2 }
 
 // holder returns packets of an open connection to the server that holds it, where this instance knows it.
@@ -693,7 +692,7 @@
 	}
 	s.delay = took
 	// Guards against unlike servers behind equal weights, and against one that slows down: each word of late
-	// messages takes 5% off its pace, up to 20% where they are very late; wearOff gives it back.
+	// messages takes up to 10% off its pace for each quoted time, 40% at most; wearOff gives it back.
 	s.pace = max(slowest, s.pace*(1-0.1*min(float64(took)/float64(b.quickest()), 4)))
 }
 
@@ -770,7 +769,7 @@
 			// long: half of it left slow servers full, half as much again swung the load of small fleets.
 			a, rate = s.heaviest(), 0.08*min(float64(s.delay)/float64(from), 4)*s.units
 		case len(s.standing) > 0 && s.zone != b.zone && b.crossing > b.moving && b.home < 0.25:
-			a, rate = s.standing[0], 0.2*float64(len(s.standing)) // within seconds
+			a, rate = s.standing[0], 0.2*float64(len(s.standing)) // 10% a second left half of the gain
 		}
 		if a != nil && b.rng.Float64() < rate*float64(tick)/float64(Second) {
 			b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
