--- a/logic/logic.go
+++ b/logic/logic.go
@@ -429,7 +429,7 @@
 	}
 }
 
-// measure finds how crowded the known fleet is (two more servers are taken to be well), and the worth of load.
+// measure finds how crowded the known fleet is (two more are taken to be well), and what a unit of load earns.
 func (b *Balancer) measure(now Micros) {
 	for _, k := range b.models {
 		*k = kind{}
@@ -463,7 +463,7 @@
 
 // common tells that set-ups fail for a common cause, as on a shared store that is slow: the last ones failed
 // on several servers with none standing between. More dispatches make that worse, so they go out one at a
-// time; each that stands takes one failure back. One server is ill by itself; four found a slow store too late.
+// time; each that stands takes one failure back. One server is ill by itself; four were found too late.
 func (b *Balancer) common() bool { return len(b.failing) >= 2 }
 
 // holder returns packets of an open connection to the server that holds it, where this instance knows it.
