--- a/logic/logic.go
+++ b/logic/logic.go
@@ -412,13 +412,13 @@
 // late or ill, an attachment is pushed back that earns much less for its load than those that stand. Packets
 // of an open connection are load that is borne already.
 func (b *Balancer) barred(a *Attachment) bool {
-	return !a.MidFlow && b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < max(poorBelow, b.crowd)*b.worth
+	// The bar starts above half of the mean, which bars the few that bring most of the load, and rises to it.
+	bar := min(1, 0.4+b.crowd) * b.worth
+	return !a.MidFlow && b.crowd > crowdedFrom && b.worthOf(a, b.unitsOf(a)) < bar
 }
 
 const crowdedFrom = 0.2 // more than single servers; a tenth bars on calm days, too
 
-const poorBelow = 0.5 // bars the few that bring most of the load; the bar rises with the trouble
-
 // report tells on-call staff, in the log, when the plight changes.
 func (b *Balancer) report() {
 	told := [2]bool{b.crowd > crowdedFrom, b.common()}
@@ -429,7 +429,7 @@
 	}
 }
 
-// measure finds how crowded the known fleet is (two more are taken to be well), and what a unit of load earns.
+// measure finds how crowded the known fleet is (two more are taken to be well) and what a unit of load earns.
 func (b *Balancer) measure(now Micros) {
 	for _, k := range b.models {
 		*k = kind{}
