--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -220,6 +220,38 @@
 	f.send(f.arrive(0))
 }
 
+// A proxy of a large fleet holds connections on a few servers, and must not take the others to be well.
+func TestAProxyThatKnowsFewServersSeesTheCrowd(t *testing.T) {
+	f := openSeeded(t, 1, 60, 40)
+	var known []logic.ServerID
+	for on := range f.fill(6) {
+		known = append(known, on)
+	}
+	back := f.arrive(0)
+	back.Back = true
+	f.late(150*ms, 1, known...)
+	require.Equal(t, logic.PushBack, f.Where(f.now, back).Verdict)
+}
+
+// Of the proxies with connections on a late server, those that hold the heavy ones are to move them.
+func TestALateServerIsRelievedOfLoadNotOfNumbers(t *testing.T) {
+	moved := func(level float64) (n int) {
+		for seed := range int64(40) {
+			f := openSeeded(t, seed, 60, 20)
+			for on, as := range f.fill(20) {
+				f.Load(f.now, as[0], 1000)
+				if on == 1 {
+					f.Load(f.now, as[0], level)
+				}
+			}
+			f.late(100*ms, 3, 1)
+			n += f.count(logic.Move)
+		}
+		return n
+	}
+	require.Greater(t, moved(5000), 2*moved(200))
+}
+
 func TestMembersOfAGroupStayTogether(t *testing.T) {
 	f := open(t, 4)
 	f.fill(8)
