On SIGHUP the file is read again and the list followed at its new address

Cause: cmd/hatchproxy/main.go notified SIGTERM and SIGINT only, after the file was read; SIGHUP kept Go's default, which ends the process. Behind it opening.FromFile let ROUTER_DISCOVERY go before the file, so a file read again would have named the old address still; and a version of the old service means nothing to the new one, so proxy.renew asks for a whole list, ends the old watch and its idle connections, and keeps the last list till then. Ruled out: a panic (the log ends without one), a kill for memory (3 of 64 MB).

--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -28,8 +28,9 @@
   hatchproxy config check [--config FILE]                 read the configuration and say what is wrong with it
   hatchproxy version
 
-The configuration is the file that $ROUTER_CONFIG names; $ROUTER_NAME, $ROUTER_LISTEN and $ROUTER_DISCOVERY go
-before what stands in it.
+The configuration is the file that $ROUTER_CONFIG names; $ROUTER_NAME and $ROUTER_LISTEN go before what stands in
+it, $ROUTER_DISCOVERY counts where it names none. On SIGHUP the file is read again: a new address of discovery
+counts at once, all else from the next start on.
 `
 
 func main() {
@@ -93,6 +94,11 @@
 }
 
 func serve(file, level string) error {
+	// Before all else: a signal that is not caught yet ends the program, and SIGHUP must never.
+	leave, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(again, syscall.SIGHUP)
+
 	var lowest slog.Level
 	if err := lowest.UnmarshalText([]byte(level)); err != nil {
 		return fmt.Errorf("--log-level: %w", err)
@@ -115,14 +121,24 @@
 	// with a single one these would wait until the runtime notices that the loop sleeps.
 	runtime.GOMAXPROCS(max(2, int(math.Ceil(cores))))
 
-	leave := make(chan os.Signal, 1)
-	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
-	listen, list := paper.Addresses()
+	listen, _ := paper.Addresses()
 	products, limits := paper.Products()
 	zones, models := paper.Names()
-	service := discovery.At(list, hold(paper.Asking()))
-	return proxy.New(log.With("proxy", paper.Name()), b, listen, service, paper.Known(), products, limits,
-		zones, models, paper.Dialing(), paper.Late(), sockets).Run(leave)
+	reread := func() (*discovery.Service, error) {
+		paper, err := read(file)
+		if err != nil {
+			return nil, err
+		}
+		return service(paper), nil
+	}
+	return proxy.New(log.With("proxy", paper.Name()), b, listen, service(paper), paper.Known(), products, limits,
+		zones, models, paper.Dialing(), paper.Late(), sockets).Run(leave, again, reread)
+}
+
+// service is where a configuration says that the list of servers is had.
+func service(paper *opening.Paper) *discovery.Service {
+	_, list := paper.Addresses()
+	return discovery.At(list, hold(paper.Asking()))
 }
 
 // hold is how long a watch may wait: the span within which the list must be asked for, so that a service that
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// Close gives back the connections on which no call is out. Calls are ended by their own context.
+func (s *Service) Close() { s.client.CloseIdleConnections() }
+
 // None is the version of no list at all.
 const None = -1
 
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -26,8 +26,9 @@
 	known json.RawMessage
 }
 
-// FromEnvironment reads the file that ROUTER_CONFIG names; the other ROUTER_ variables, where set, go before
-// what stands in it.
+// FromEnvironment reads the file that ROUTER_CONFIG names; ROUTER_NAME and ROUTER_LISTEN, where set, go before
+// what stands in it. ROUTER_DISCOVERY counts only where the file names none: the file is replaced while the proxy
+// runs, and the variable, as old as the start or older, would then still name the service that was given up.
 func FromEnvironment(lookUp func(string) string) (*Paper, error) {
 	path := lookUp("ROUTER_CONFIG")
 	if path == "" {
@@ -47,12 +48,15 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	for name, place := range map[string]*string{
-		"ROUTER_NAME": &p.name, "ROUTER_LISTEN": &p.listen, "ROUTER_DISCOVERY": &p.discovery,
+		"ROUTER_NAME": &p.name, "ROUTER_LISTEN": &p.listen,
 	} {
 		if value := lookUp(name); value != "" {
 			*place = value
 		}
 	}
+	if p.discovery == "" {
+		p.discovery = lookUp("ROUTER_DISCOVERY")
+	}
 	return p, p.check()
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -109,15 +109,26 @@
 	ownSockets = 40
 )
 
-// Run serves until it is told to leave, and returns nil if it left in good order.
-func (p *Proxy) Run(leave <-chan os.Signal) error {
+// Run serves until it is told to leave, and returns nil if it left in good order. Whenever again says so, reread
+// tells where the server list is had from now on.
+func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (*discovery.Service, error)) error {
 	defer p.stop()
 	go func() {
 		<-p.started
-		select {
-		case <-leave:
-			p.post(p.leave)
-		case <-p.ctx.Done():
+		for {
+			select {
+			case <-leave:
+				p.post(p.leave)
+			case <-again:
+				service, err := reread()
+				if err != nil {
+					p.log.Error("the new configuration is of no use, the old one is kept", "error", err)
+					continue
+				}
+				p.post(func() { p.renew(service) })
+			case <-p.ctx.Done():
+				return
+			}
 		}
 	}()
 	go p.callSelf()
@@ -302,6 +313,16 @@
 	}()
 }
 
+// renew follows the list of another service from now on. The last list is kept until the first answer, which is
+// a whole one: versions are those of a service, and one of the old would hide changes.
+func (p *Proxy) renew(to *discovery.Service) {
+	p.log.Info("the configuration was read again")
+	old := p.service
+	p.service, p.version = to, discovery.None
+	p.Subscribe()
+	old.Close()
+}
+
 // Speak is for lines that carry many instances.
 func (p *Proxy) Speak(host.InstanceID) {}
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -71,7 +71,7 @@
 	p := proxy.New(log, b, s.listen, discovery.At(list.Address, time.Second), nil, []string{"chat", "pay"},
 		[]logic.Micros{1500 * logic.Millisecond, 1500 * logic.Millisecond}, []string{"a"}, []string{"m"},
 		250*logic.Millisecond, 50*logic.Millisecond, sockets)
-	go func() { s.ended <- p.Run(s.leave) }()
+	go func() { s.ended <- p.Run(s.leave, nil, nil) }()
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", s.listen)
 		if err != nil {
