Bad lines are refused before a dispatch, and the silent make room for who asks

A trace of all lines showed two causes. 1. internal/proxy/client.go, arrived: a line with the id of an open request was taken. Its server says BUSY to it, the module sends it to the next, up to six, and passes each over for a second: the fleet looked crowded and usual clients were barred. An id in hand is now refused. Also refused before anything is sent: ids and keys that are no numbers, a field named twice, d of 0, bytes behind the line in the same read (they were placed, then abandoned). 2. asking was 10 s: 571 connections at that proxy said PING and stayed, all 604 descriptors were taken, the rest was told BUSY. The whole line now has 2.5 s from accept, and at the limit those that were answered and have not left, then the oldest that have asked nothing, are closed at once. A dial counts for the two descriptors it holds; the bound on all dials (mostDials) is gone, so that dials to vanished servers cannot hold up the others. Also: d above the hard limit counts as that, at= with an unknown server ends after 2.5 s once the list was had, the log tells once a second how many were refused. Ruled out: memory (4 of 64 MB), CPU (0.04 of a second at most), 60 MB senders (they leave on ERR after some 160 KB).

--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,6 +24,7 @@
 
 // Client is the state machine of a client's connection. Its fields are set once it has asked.
 type Client struct {
+	ID      uint64 // new with every connection
 	Key     logic.ClientKey
 	Group   logic.GroupID
 	Product string
@@ -34,6 +36,7 @@
 
 	in           lines
 	asked        bool
+	pings        int
 	told         bool   // how long it waits
 	before, tail string // of the line, round the figure that tells how long the proxy will wait
 }
@@ -41,8 +44,12 @@
 var (
 	errEarly = errors.New("bytes came before the connection was up")
 	errDumb  = errors.New("the first line means nothing")
+	errPings = errors.New("too many questions and no attachment")
 )
 
+// mostPings is far more than a front asks on a connection. Guards against floods of them, each with its answer.
+const mostPings = 32
+
 // Feed takes bytes that came before the connection stands, up to the end of the first line.
 func (c *Client) Feed(b []byte) (ClientEvent, []byte) {
 	if len(b) == 0 {
@@ -59,14 +66,20 @@
 		return ClientSilent, nil
 	}
 	if string(line) == "PING" {
+		if c.pings++; c.pings > mostPings {
+			return c.wrong(errPings)
+		}
 		return Probed, rest
 	}
 	if err := c.read(string(line)); err != nil {
 		return c.wrong(err)
 	}
+	if len(rest) > 0 { // told before anything is sent on for it
+		return c.wrong(errEarly)
+	}
 	c.asked = true
 	c.in.drop()
-	return Asked, rest
+	return Asked, nil
 }
 
 func (c *Client) wrong(err error) (ClientEvent, []byte) {
@@ -83,17 +96,30 @@
 	if words[0] != "OPEN" {
 		return errors.New("the verb is unknown")
 	}
-	if len(words) != 4 || words[1] == "" || words[2] == "" {
+	if len(words) != 4 {
 		return errors.New("OPEN takes an id, a key and a list")
 	}
-	c.Key = logic.ClientKey(number(words[2]))
+	id, err := strconv.ParseUint(words[1], 16, 64)
+	if err != nil {
+		return fmt.Errorf("the id %.40q is no hexadecimal number", words[1])
+	}
+	key, err := strconv.ParseUint(words[2], 16, 64)
+	if err != nil {
+		return fmt.Errorf("the key %.40q is no hexadecimal number", words[2])
+	}
+	c.ID, c.Key = id, logic.ClientKey(key)
 	c.before = line
 	at := len(line) - len(words[3])
+	named := make([]string, 0, 8)
 	for item := range strings.SplitSeq(words[3], ",") {
 		name, value, found := strings.Cut(item, "=")
-		if !found {
+		if !found || name == "" {
 			return fmt.Errorf("%.40q has no value", item)
 		}
+		if slices.Contains(named, name) || len(named) == mostNames {
+			return fmt.Errorf("%.40q is one too many", name)
+		}
+		named = append(named, name)
 		if name == "d" {
 			c.before, c.tail, c.told = line[:at+2], line[at+len(item):], true
 		}
@@ -108,6 +134,9 @@
 	return nil
 }
 
+// mostNames is far above what a line lists. Guards against long searches for one that is named twice.
+const mostNames = 64
+
 // longestWait is far above any hard limit; a longer wait is taken for a bad number.
 const longestWait = 1e9
 
@@ -127,7 +156,9 @@
 			return fmt.Errorf("%s: %.40q is no such number", name, value)
 		}
 		if name == "d" {
-			c.Wait = max(1, logic.Micros(math.Round(x*1000)))
+			if c.Wait = logic.Micros(math.Round(x * 1000)); c.Wait == 0 {
+				return errors.New("d: it is over already")
+			}
 		} else {
 			c.Hint = 1000 * x
 		}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"cmp"
+	"container/list"
 	"errors"
 	"io"
 	"syscall"
@@ -19,38 +21,83 @@
 	at     *logic.Attachment
 	out    *dispatch // on its way, or where the connection stands
 	stands bool
-	over   bool           // it has its final answer, or is gone
+	over   bool       // it has its final answer, or is gone
+	queue  *list.List // the proxy's silent or done, while it stands in one of them
+	place  *list.Element
 	sent   []logic.Micros // when the messages came that have not been answered
 }
 
 const (
-	// asking is how long a connection may take to say what it wants.
-	asking = 10 * second
+	// asking is how long a connection may take for its whole first line, counted from accept: within 3 s it is
+	// owed an answer.
+	asking = 2500 * millisecond
 	// margin is kept of a client's wait, which it counts from its sending: its line has been on the way, and
 	// the answer will be.
 	margin = 20 * millisecond
 )
 
-func (p *Proxy) accepted(conn gnet.Conn) {
+// accepted takes a connection in. There is always a descriptor for one more: an accept that finds none would end
+// the loop.
+func (p *Proxy) accepted(conn gnet.Conn) ([]byte, gnet.Action) {
 	c := &client{conn: conn}
 	conn.SetContext(c)
 	p.sockets++
-	if p.sockets > p.most {
-		// Guards against a failure in accept, which would end the loop: some descriptors are kept for this.
-		p.refuse(c)
-		p.shut(conn, false)
-		return
+	if !p.room(0) {
+		c.over = true
+		return protocol.Refusal(0), gnet.Close
 	}
+	c.wait(&p.silent)
 	p.after(asking, func() {
-		if c.id == 0 && !c.over {
+		if c.queue == &p.silent {
 			p.answer(c, protocol.Fault(errSilent))
 		}
 	})
+	return nil, gnet.None
+}
+
+// wait puts a client at the end of a queue; it stands in one at most.
+func (c *client) wait(queue *list.List) {
+	c.leaveQueue()
+	c.queue, c.place = queue, queue.PushBack(c)
+}
+
+func (c *client) leaveQueue() {
+	if c.queue != nil {
+		c.queue.Remove(c.place)
+		c.queue, c.place = nil, nil
+	}
+}
+
+// room sees to it that n more descriptors are left. Guards against the hundreds that connect and say nothing, or do
+// not leave once they were answered: those that were answered first go first, then those that have been silent
+// longest. False where all descriptors are in use for requests.
+func (p *Proxy) room(n int) bool {
+	for p.sockets+n > p.most {
+		first := p.done.Front()
+		if first == nil {
+			first = p.silent.Front()
+		}
+		if first == nil {
+			return false
+		}
+		c := first.Value.(*client)
+		c.leaveQueue()
+		if !c.over {
+			p.release(c)
+			_, _ = c.conn.Write(protocol.Refusal(0)) // a failure comes as the end of the connection
+		}
+		if isOpen(c.conn) {
+			// At once, where gnet's own Close would wait for the loop's next turn. What ends here has nothing to tell.
+			_ = p.loop.Close(c.conn)
+		}
+	}
+	return true
 }
 
 var (
 	errSilent  = errors.New("nothing was asked")
 	errProduct = errors.New("the class is unknown")
+	errTwice   = errors.New("this id is open")
 )
 
 func (p *Proxy) clientSays(c *client, b []byte) {
@@ -67,9 +114,8 @@
 		case protocol.Asked:
 			p.arrived(c)
 		case protocol.ClientWrong:
-			p.log.Info("a client's bytes were refused", "why", c.talk.Why)
 			p.abandon(c)
-			p.answer(c, protocol.Fault(c.talk.Why))
+			p.wrong(c, c.talk.Why)
 		}
 	}
 	if len(b) > 0 && c.stands && !c.over {
@@ -77,24 +123,38 @@
 	}
 }
 
+// wrong answers a client that does not keep to the protocol. Guards against a log that grows with each: the pulse
+// tells how many there were.
+func (p *Proxy) wrong(c *client, why error) {
+	p.refused, p.why = p.refused+1, why
+	p.answer(c, protocol.Fault(why))
+}
+
 // arrived takes an attachment in hand.
 func (p *Proxy) arrived(c *client) {
 	now := p.now()
 	product, known := p.products[c.talk.Product]
+	c.leaveQueue()
 	switch {
 	case !known:
-		p.answer(c, protocol.Fault(errProduct))
+		p.wrong(c, errProduct)
+		return
+	case p.ids[c.talk.ID]:
+		// Guards against one that comes with another's id: servers turn it away, and would be judged by that.
+		p.wrong(c, errTwice)
 		return
-	case p.refusing, p.sockets+3 > p.most: // a dispatch takes two descriptors for a moment
+	case p.refusing, !p.room(2): // a dispatch takes two descriptors for a moment
 		p.refuse(c)
 		return
 	}
-	wait := c.talk.Wait
-	if wait == 0 {
-		wait = p.limits[product]
+	most := p.limits[product]
+	if c.talk.Stands != "" {
+		most = longestRestore
 	}
+	wait := min(cmp.Or(c.talk.Wait, most), most)
 	p.lastID++
 	c.id = p.lastID
+	p.ids[c.talk.ID] = true
 	c.at = &logic.Attachment{
 		ID: c.id, Product: product, Group: c.talk.Group, Key: c.talk.Key, Hint: c.talk.Hint, Back: c.talk.Back,
 		Came: now, Limit: now + max(wait-margin, wait/2),
@@ -114,14 +174,25 @@
 	}
 	_, _ = c.conn.Write(line) // a failure comes as the end of the connection
 	p.release(c)
-	p.bow(c.conn, p.now()+second)
+	p.lastWord(c)
+}
+
+// lastWord has a client leave that has had its last word.
+func (p *Proxy) lastWord(c *client) {
+	if isOpen(c.conn) {
+		c.wait(&p.done)
+		p.bow(c.conn, p.now()+second)
+	}
 }
 
 // release is where a client's resources are given back, but for its socket, which the caller shuts.
 func (p *Proxy) release(c *client) {
 	c.over = true
 	c.talk.Drop()
-	delete(p.clients, c.id)
+	if c.id != 0 {
+		delete(p.clients, c.id)
+		delete(p.ids, c.talk.ID)
+	}
 }
 
 // abandon tells the decisions that a client is gone, and ends its dispatch if one is out.
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -50,7 +50,8 @@
 	c.out = d
 	var ctx context.Context
 	ctx, d.hang = context.WithCancel(p.ctx)
-	p.sockets++
+	p.room(2) // those in use for requests leave room for what is not had here
+	p.sockets += 2
 	p.at(d.until, func() {
 		switch {
 		case d.over || c.stands:
@@ -67,7 +68,7 @@
 func (p *Proxy) dial(ctx context.Context, d *dispatch, endpoint string, wait logic.Micros) {
 	none := func(err error) {
 		p.post(func() {
-			p.sockets--
+			p.sockets -= 2
 			if !d.over {
 				p.log.Debug("no connection", "server", endpoint, "error", err)
 				p.failed(d, logic.NoConnection)
@@ -76,13 +77,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Microsecond)
 	defer cancel()
-	select {
-	case p.slots <- struct{}{}:
-		defer func() { <-p.slots }()
-	case <-ctx.Done():
-		none(ctx.Err())
-		return
-	}
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", endpoint)
 	if err != nil {
 		none(err)
@@ -101,6 +95,7 @@
 
 // connected sends the line. A connection for what is over by now is closed.
 func (p *Proxy) connected(d *dispatch, conn gnet.Conn) gnet.Action {
+	p.sockets-- // the dial closes its own descriptor
 	if d.over {
 		return gnet.Close
 	}
@@ -203,7 +198,11 @@
 }
 
 // restoring is the wait before a connection that stood before this proxy did is tried again at its server.
-const restoring = 100 * millisecond
+const (
+	restoring = 100 * millisecond
+	// longestRestore is as long as the protocol has all such connections come up at the start.
+	longestRestore = 40 * second
+)
 
 // restore takes a connection back to the server where it was open before this proxy was.
 func (p *Proxy) restore(c *client) {
@@ -212,6 +211,8 @@
 	case c.over:
 	case now >= c.at.Limit:
 		p.answer(c, protocol.Failed)
+	case p.servers[discovery.ID(c.talk.Stands)] == nil && p.ready && now-c.at.Came > asking:
+		p.answer(c, protocol.Failed) // the list has been had, and such a server is not on it
 	case p.servers[discovery.ID(c.talk.Stands)] == nil:
 		p.after(restoring, func() { p.restore(c) })
 	default:
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -27,9 +27,9 @@
 	s := p.servers[id]
 	switch {
 	case s == nil || p.leaving:
-	case s.probe == nil && p.sockets+3 <= p.most:
+	case s.probe == nil && p.room(2):
 		s.probe = &probe{server: s, asked: p.now(), out: true}
-		p.sockets++
+		p.sockets += 2
 		go p.dialProbe(s.probe, s.endpoint)
 	case s.probe == nil:
 	case s.probe.out:
@@ -58,7 +58,7 @@
 	}
 	if err != nil {
 		p.post(func() {
-			p.sockets--
+			p.sockets -= 2
 			pr.server.probe = nil
 		})
 	}
@@ -66,6 +66,7 @@
 
 // probeConnected sends the first probe.
 func (p *Proxy) probeConnected(pr *probe, conn gnet.Conn) {
+	p.sockets-- // the dial closes its own descriptor
 	pr.conn = conn
 	p.ask(pr)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -29,8 +30,7 @@
 	stop    context.CancelFunc
 	engine  gnet.Engine
 	loop    gnet.EventLoop
-	fault   error // why it could not go on
-	slots   chan struct{}
+	fault   error         // why it could not go on
 	started chan struct{} // closed once the loop is known
 	begin   time.Time
 	epoch   logic.Micros
@@ -47,6 +47,11 @@
 	most     int          // sockets
 
 	clients  map[logic.AttachmentID]*client
+	ids      map[uint64]bool // that clients in hand came with
+	silent   list.List       // clients that have asked nothing yet, oldest first
+	done     list.List       // clients that have had their last word, oldest first
+	refused  int             // since the last pulse
+	why      error           // of the last one
 	lastID   logic.AttachmentID
 	servers  map[logic.ServerID]*server
 	version  int64
@@ -67,13 +72,13 @@
 	products []string, limits []logic.Micros, zones, models []string, dialing, late logic.Micros, sockets int64) *Proxy {
 	now := time.Now()
 	p := &Proxy{
-		log: log, listen: listen, service: service, slots: make(chan struct{}, mostDials),
+		log: log, listen: listen, service: service,
 		started: make(chan struct{}),
 		begin:   now, epoch: logic.Micros(now.UnixMicro()),
 		products: map[string]logic.ProductID{}, limits: limits,
 		zones: map[string]logic.ZoneID{}, models: map[string]logic.ModelID{},
 		dialing: dialing, late: late, most: int(sockets) - ownSockets,
-		clients: map[logic.AttachmentID]*client{}, servers: map[logic.ServerID]*server{}, version: discovery.None,
+		clients: map[logic.AttachmentID]*client{}, ids: map[uint64]bool{}, servers: map[logic.ServerID]*server{}, version: discovery.None,
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	for i, name := range products {
@@ -101,13 +106,10 @@
 	return p
 }
 
-const (
-	// mostDials bounds the dials under way: each takes a thread's attention and two descriptors for a moment.
-	mostDials = 64
-	// ownSockets are descriptors that are neither a client's nor a server's: the listener, two pollers, the
-	// calls for the list, the standard streams; and what dials hold twice for a moment.
-	ownSockets = 40
-)
+// ownSockets are descriptors that are neither a client's nor a server's: the listener, two pollers, the calls for
+// the list (of two services for a moment), the configuration, the standard streams; and what dials that were broken
+// off, or have just been handed over, hold a moment longer than they are counted.
+const ownSockets = 32
 
 // Run serves until it is told to leave, and returns nil if it left in good order. Whenever again says so, reread
 // tells where the server list is had from now on.
@@ -208,7 +210,7 @@
 	case *probe:
 		p.probeConnected(side, c)
 	default:
-		p.accepted(c)
+		return p.accepted(c)
 	}
 	return nil, gnet.None
 }
@@ -236,6 +238,7 @@
 	switch side := c.Context().(type) {
 	case *client:
 		p.sockets--
+		side.leaveQueue()
 		p.clientEnded(side, isReset(err))
 	case *dispatch:
 		p.sockets--
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -95,7 +95,7 @@
 	p.unseat(c)
 	p.in.Ended(p.now(), c.id, o, true)
 	p.shut(d.conn, false)
-	p.bow(c.conn, p.now()+second)
+	p.lastWord(c)
 }
 
 // pulse tells, once a second, how long messages take at each server where connections stand and they are late,
@@ -103,6 +103,10 @@
 func (p *Proxy) pulse() {
 	p.after(second, p.pulse)
 	now := p.now()
+	if p.refused > 0 {
+		p.log.Info("clients' bytes were refused", "count", p.refused, "last", p.why)
+		p.refused = 0
+	}
 	waiting := map[*server][]logic.Micros{}
 	var mute []*client
 	for _, c := range p.clients {
