A single slow probe of the own zone counts at once; cheaper crossings in trouble

Cause: logic.go, Probed took the quicker of two answers, against short pauses; so every trouble was seen a second late. Pauses show as answers of 10 ms and more (seen: 29 ms, 104 ms), full servers as two to five times the quickest: the quicker of two now counts only from eight times on, and across zones, where a way of 7 ms and its jitter hide a millisecond. Left out at no gain: cheaper crossings in calm, moves by number or faster, wider homes, slower or faster recovery, other spans for who drops connections, an allowance of three for late servers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -222,8 +222,8 @@
 	}
 	size := s.weight / b.weight * pace
 	if s.zone != b.zone {
-		// At a price of a fifth others are all but closed while the own one is calm, else a third as large.
-		size *= max(0.05, 1-(4.7-1.5*b.home)*b.crossing)
+		// At a price of a fifth others are all but closed while the own one is calm, else three fifths as large.
+		size *= max(0.05, 1-(4.7-2.7*b.home)*b.crossing)
 	}
 	return size
 }
@@ -331,9 +331,8 @@
 		spent += r.units
 	}
 	share := b.cold.Start + (1-b.cold.Start)*float64(age)/float64(b.cold.Warm)
-	// A warm server bears at least what each is sent on average, so that rate stands for its capacity; half
-	// is kept against chance and heavy attachments. Guards against hundreds of proxies with one each: below
-	// one, chance tells which has it, and the one that is always allowed is one of all proxies together.
+	// A warm server bears at least what each is sent on average; half is kept against chance and heavy ones.
+	// Guards against hundreds of proxies with one each: below one, chance tells which has it.
 	budget := 0.5 * b.cold.Multiple * share * b.rate * float64(b.cold.Window) / float64(Second)
 	return spent+b.unitsOf(a)*(1-s.chance) <= max(budget, 1/b.proxies)
 }
@@ -547,12 +546,10 @@
 // ---- counting
 
 func (b *Balancer) put(now Micros, s *server, a *Attachment) {
-	a.on, a.last, a.sentAt, a.units = s, s, now, b.unitsOf(a)
-	a.sends++
+	a.on, a.last, a.sentAt, a.units, a.sends = s, s, now, b.unitsOf(a), a.sends+1
 	s.units += a.units
 	s.waiting = append(s.waiting, a)
-	b.out++
-	b.held++
+	b.out, b.held = b.out+1, b.held+1
 	if a.Group != 0 {
 		s.groups[a.Group]++
 		b.members[a.Group]++
@@ -603,8 +600,7 @@
 	b.settle(s, a)
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
-	b.placed += a.units
-	b.stood = now
+	b.placed, b.stood = b.placed+a.units, now
 	b.failing = b.failing[:max(len(b.failing)-1, 0)]
 	s.tries++
 }
@@ -614,8 +610,7 @@
 		b.holders[a.Key] = s.id
 	}
 	b.probes += 2 // one each saw less; without a bound the price outgrew the use where little comes
-	a.stands = true
-	s.standing = append(s.standing, a)
+	a.stands, s.standing = true, append(s.standing, a)
 }
 
 // Carried tells of a connection that stood through this instance when it started.
@@ -686,15 +681,22 @@
 }
 
 // Probed tells how long a server took to answer a probe. Each quickest answer beyond the first, and a quarter
-// for jitter, stands for the quoted time. Of two the quicker counts: a short pause meets a single one.
+// for jitter, stands for the quoted time. Of two the quicker counts where the way is long or the answer took as
+// long as a short pause, which meets a single one. Elsewhere to wait for a second word cost a tenth of G.
 func (b *Balancer) Probed(now Micros, id ServerID, took Micros) {
 	if s := b.byID[id]; s != nil && took > 0 {
 		s.quick = min(cmp.Or(s.quick, took), took)
-		b.Delay(now, id, b.quickest()*max(0, min(took, s.probed)-s.quick*5/4)/s.quick)
+		seen := took
+		if s.zone != b.zone || took > pauses*s.quick {
+			seen = min(took, s.probed)
+		}
+		b.Delay(now, id, b.quickest()*max(0, seen-s.quick*5/4)/s.quick)
 		s.probed = took
 	}
 }
 
+const pauses = 8 // times the quickest: full servers took four or five, paused ones ten and more
+
 const slowest = 0.1 // the worst pace that on-call staff have seen a server fall to
 
 // quickest is the shortest quoted time of a message.
@@ -710,8 +712,7 @@
 
 // failed books a failure and passes over a server whose share of failures is far above the median.
 func (b *Balancer) failed(now Micros, s *server, a *Attachment, o Outcome) {
-	s.tries++
-	s.fails++
+	s.tries, s.fails = s.tries+1, s.fails+1
 	if (o == TimedOut || o == Failure) && s.shunned <= now && !slices.Contains(b.failing, s.id) {
 		b.failing = append(b.failing, s.id)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -517,6 +517,15 @@
 	require.Less(t, len(f.fill(12)[1]), 2)
 }
 
+// A second passed until a second slow answer: full servers went on filling, and dropped what they had.
+func TestASingleSlowAnswerIsBelievedAtHome(t *testing.T) {
+	f := open(t, 2)
+	f.fill(20)
+	f.Probed(f.now, 1, 500)
+	f.Probed(f.now, 1, 1500)
+	require.Less(t, len(f.fill(10)[1]), 4)
+}
+
 // A client that was sent off a late server came back to it, for its group's home: it was sent off again.
 func TestWhoComesBackIsNotSentToALateServerWhileAnotherIsWell(t *testing.T) {
 	f := open(t, 3)
