--- a/logic/logic.go
+++ b/logic/logic.go
@@ -222,8 +222,8 @@
 	}
 	size := s.weight / b.weight * pace
 	if s.zone != b.zone {
-		// At a price of a fifth others are all but closed while the own one is calm, else three fifths as large.
-		size *= max(0.05, 1-(4.7-2.7*b.home)*b.crossing)
+		// At a price of a fifth others are all but closed while the own one is calm, else a third as large.
+		size *= max(0.05, 1-(4.7-1.5*b.home)*b.crossing)
 	}
 	return size
 }
