--- a/logic/logic.go
+++ b/logic/logic.go
@@ -434,7 +434,7 @@
 			units += a.units
 		}
 	}
-	b.crowd = max(min(bad-1, 1)*bad/(all+2), b.crowd*0.92) // a single one is no crowd, however few are known
+	b.crowd = max(min(bad-1, 1)*bad/(all+2), b.crowd*0.92) // one is no crowd, however few are known
 	b.home = max(min(1, 4*ownBad/(own+2)), b.home*0.98)
 	if units > 0 {
 		b.worth = gain / units
