--- a/logic/logic.go
+++ b/logic/logic.go
@@ -681,8 +681,8 @@
 }
 
 // Probed tells how long a server took to answer a probe. Each quickest answer beyond the first, and a quarter
-// for jitter, stands for the quoted time. Of two the quicker counts where the way is long or the answer took as
-// long as a short pause, which meets a single one. Elsewhere to wait for a second word cost a tenth of G.
+// for jitter, stands for the quoted time. Of two the quicker counts where the way is long or the answer took
+// as long as a short pause, which meets a single one. Elsewhere to wait for a second word cost a tenth of G.
 func (b *Balancer) Probed(now Micros, id ServerID, took Micros) {
 	if s := b.byID[id]; s != nil && took > 0 {
 		s.quick = min(cmp.Or(s.quick, took), took)
