--- /dev/null
+++ b/lab/experiment/file.go
@@ -0,0 +1,457 @@
+// Package experiment reads what an experiment is to be, plays it with real proxies, and holds what was seen beside
+// what must be seen.
+package experiment
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"hatchproxy/lab/fleet"
+	"hatchproxy/lab/ledger"
+	"hatchproxy/lab/load"
+)
+
+// Span is a time in a file, with its unit: "1.5s", "300ms".
+type Span ledger.Micros
+
+// UnmarshalText reads one.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil || d < 0 {
+		return fmt.Errorf("%q is no time such as \"1.5s\" or \"300ms\"", text)
+	}
+	*s = Span(d.Microseconds())
+	return nil
+}
+
+func (s Span) micros() ledger.Micros { return ledger.Micros(s) }
+
+// File is an experiment as it is written down. docs/lab.md tells each name.
+type File struct {
+	Path   string `toml:"-"`
+	Name   string
+	About  string
+	Length Span
+	Seeds  []uint64
+
+	Proxies struct {
+		Count      int
+		MemoryMB   int `toml:"memory-mb"`
+		Sockets    int
+		Dispatches int
+		Grace      Span
+	}
+	Fleet struct {
+		Servers            int
+		Zones              []string
+		Between            Span
+		CellSize           int  `toml:"cell-size"`
+		SetUp              Span `toml:"set-up"`
+		Probe, Load        Span
+		LoadSpread         float64 `toml:"load-spread"`
+		LoadChange         Span    `toml:"load-change"`
+		GroupCost          float64 `toml:"group-cost"`
+		ConnectionsPerCore int     `toml:"connections-per-core"`
+		QueuePerCore       int     `toml:"queue-per-core"`
+		Message, Notice    Span
+		Weights            string
+		TellsLoad          bool `toml:"tells-load"`
+		Probes, Sheds      bool
+		Cold               struct {
+			From, Multiple float64
+			Warm, Window   Span
+		}
+		Kind []struct {
+			Name                 string
+			Cores                int
+			Share, Speed, Spread float64
+		}
+	}
+	Product []struct {
+		Name, Repeat, Reach string
+		Share, Gain         float64
+		Life, Window        Span
+		Quoted, Limit       Span
+		Message             Span
+	}
+	Load struct {
+		Rate                float64
+		Groups              int
+		Zipf, Heed, Skew    float64
+		Retries, Carried    int
+		Wait, Rejoin, Every Span
+		Return              Span
+		Marks               bool
+		Trace               string
+		Bend                []struct {
+			At   Span
+			Rate float64
+		}
+	}
+	Trouble []struct {
+		Kind    string
+		At, For Span
+		Part    float64
+		Servers []int
+		Size    float64
+	}
+	Expect map[string]string
+
+	lines map[string]int
+	trace []load.Arrival
+}
+
+// Read reads a file and checks it; the error names the place and the cause of each fault.
+func Read(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse does the same with a text.
+func Parse(path string, text []byte) (*File, error) {
+	f := &File{Path: path}
+	f.standard()
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(f); err != nil {
+		return nil, placed(path, err)
+	}
+	f.lines = places(text)
+	if faults := f.check(); len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return f, nil
+}
+
+// standard is what holds where a file says nothing: the deployment of the first operators.
+func (f *File) standard() {
+	f.Length, f.Seeds = Span(20*ledger.Second), []uint64{1}
+	p := &f.Proxies
+	p.Count, p.MemoryMB, p.Sockets, p.Dispatches, p.Grace = 2, 192, 16384, 6, Span(2*ledger.Second)
+	fl := &f.Fleet
+	fl.Servers, fl.Zones = 8, []string{"a"}
+	fl.SetUp, fl.Probe, fl.Load, fl.Message = Span(8*ledger.Millisecond), 200, Span(60*ledger.Millisecond), Span(2*ledger.Millisecond)
+	fl.Notice, fl.Weights = Span(500*ledger.Millisecond), "nominal"
+	fl.TellsLoad, fl.Probes = true, true
+	fl.Cold.From, fl.Cold.Multiple, fl.Cold.Warm, fl.Cold.Window = 0.3, 4, Span(9*ledger.Second), Span(3*ledger.Second)
+	l := &f.Load
+	l.Heed, l.Skew, l.Retries, l.Zipf = 1, 0.5, 3, 1.1
+	l.Wait, l.Rejoin, l.Every = Span(60*ledger.Millisecond), Span(1600*ledger.Millisecond), Span(2*ledger.Second)
+}
+
+// placed turns what the library says into file:line and cause.
+func placed(path string, err error) error {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) {
+		var faults []error
+		for _, e := range missing.Errors {
+			line, _ := e.Position()
+			faults = append(faults, fmt.Errorf("%s:%d: %s is unknown", path, line, strings.Join(e.Key(), ".")))
+		}
+		return errors.Join(faults...)
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, _ := wrong.Position()
+		return fmt.Errorf("%s:%d: %s", path, line, strings.TrimPrefix(wrong.Error(), "toml: "))
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+// places finds the line of each key; tables of an array have their number in brackets.
+func places(text []byte) map[string]int {
+	lines, counts, table := map[string]int{}, map[string]int{}, ""
+	p := unstable.Parser{}
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			parts = append(parts, string(n.Data))
+			if line == 0 {
+				line = p.Shape(n.Raw).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+		default:
+			if table != "" {
+				name = table + "." + name
+			}
+			lines[name] = line
+			continue
+		}
+		lines[table] = line
+	}
+	return lines
+}
+
+// at is where a key stands, or the nearest table above it.
+func (f *File) at(key string) string {
+	for name := key; name != ""; {
+		if line, known := f.lines[name]; known {
+			return fmt.Sprintf("%s:%d", f.Path, line)
+		}
+		cut := strings.LastIndexByte(name, '.')
+		name = name[:max(cut, 0)]
+	}
+	return f.Path
+}
+
+var (
+	repeats = map[string]ledger.Repeat{"harmless": ledger.Harmless, "stamped": ledger.Stamped, "one-shot": ledger.OneShot}
+	reaches = map[string]ledger.Reach{"": ledger.ReachAll, "all": ledger.ReachAll, "zone": ledger.ReachZone, "group": ledger.ReachCell}
+)
+
+// check finds all that is wrong.
+func (f *File) check() (faults []error) {
+	wrong := func(key, format string, a ...any) {
+		faults = append(faults, fmt.Errorf("%s: %s: %s", f.at(key), key, fmt.Sprintf(format, a...)))
+	}
+	between := func(key string, x, least, most float64) {
+		if !(x >= least && x <= most) {
+			wrong(key, "%g is not between %g and %g", x, least, most)
+		}
+	}
+	if f.Name == "" {
+		wrong("name", "is missing")
+	}
+	between("length", f.Length.micros().Span().Seconds(), 1, 3600)
+	if len(f.Seeds) == 0 {
+		wrong("seeds", "are none")
+	}
+	between("proxies.count", float64(f.Proxies.Count), 1, 64)
+	between("proxies.sockets", float64(f.Proxies.Sockets), 64, 1<<20)
+	between("fleet.servers", float64(f.Fleet.Servers), 1, 2000)
+	between("fleet.zones", float64(len(f.Fleet.Zones)), 1, 8)
+	between("load.heed", f.Load.Heed, 0, 1)
+	between("load.skew", f.Load.Skew, 0, 1)
+	between("load.every", f.Load.Every.micros().Span().Seconds(), 0.01, 3600)
+	between("fleet.set-up", f.Fleet.SetUp.micros().Span().Seconds(), 0, 60)
+	if len(f.Fleet.Kind) == 0 {
+		wrong("fleet.kind", "is missing: [[fleet.kind]] names a kind of machine")
+	}
+	for i, k := range f.Fleet.Kind {
+		at := fmt.Sprintf("fleet.kind[%d]", i)
+		between(at+".cores", float64(k.Cores), 1, 1024)
+		between(at+".speed", k.Speed, 0.001, 1000)
+		between(at+".share", k.Share, 0.000001, 1e6)
+		between(at+".spread", k.Spread, 0, 0.95)
+	}
+	if !slices.Contains([]string{"none", "nominal", "rough"}, f.Fleet.Weights) {
+		wrong("fleet.weights", "%q is none of none, nominal, rough", f.Fleet.Weights)
+	}
+	if len(f.Product) == 0 {
+		wrong("product", "is missing: [[product]] names one")
+	}
+	names := map[string]bool{}
+	for i, p := range f.Product {
+		at := fmt.Sprintf("product[%d]", i)
+		if p.Name == "" || strings.ContainsAny(p.Name, " ,=") {
+			wrong(at+".name", "%q is no name", p.Name)
+		}
+		if names[p.Name] {
+			wrong(at+".name", "%q is named twice", p.Name)
+		}
+		names[p.Name] = true
+		if _, known := repeats[p.Repeat]; !known {
+			wrong(at+".repeat", "%q is none of %v", p.Repeat, slices.Sorted(maps.Keys(repeats)))
+		}
+		if _, known := reaches[p.Reach]; !known {
+			wrong(at+".reach", "%q is none of all, zone, group", p.Reach)
+		}
+		between(at+".limit", p.Limit.micros().Span().Seconds(), 0.01, 600)
+		if p.Quoted <= 0 || p.Quoted > p.Limit {
+			wrong(at+".quoted", "is not between 0 and the limit")
+		}
+		if p.Share <= 0 {
+			wrong(at+".share", "is not above 0")
+		}
+		if p.Life <= 0 {
+			wrong(at+".life", "is not above 0")
+		}
+	}
+	for i := range f.Load.Bend {
+		at := fmt.Sprintf("load.bend[%d]", i)
+		if i > 0 && f.Load.Bend[i].At < f.Load.Bend[i-1].At {
+			wrong(at+".at", "comes before the one above")
+		}
+		between(at+".rate", f.Load.Bend[i].Rate, 0, 100_000)
+	}
+	between("load.rate", f.Load.Rate, 0, 100_000)
+	if f.Load.Rate == 0 && len(f.Load.Bend) == 0 && f.Load.Trace == "" && f.Load.Carried == 0 {
+		wrong("load", "nobody comes: a rate, bends, a trace or carried are needed")
+	}
+	for i, t := range f.Trouble {
+		at := fmt.Sprintf("trouble[%d]", i)
+		if _, known := fleet.Kinds[t.Kind]; !known {
+			wrong(at+".kind", "%q is none of %s", t.Kind, strings.Join(slices.Sorted(maps.Keys(fleet.Kinds)), ", "))
+			continue
+		}
+		of := f.Fleet.Servers
+		if fleet.OfProxies(t.Kind) {
+			of = f.Proxies.Count
+		}
+		for _, n := range t.Servers {
+			between(at+".servers", float64(n), 0, float64(of-1))
+		}
+		between(at+".part", t.Part, 0, 1)
+		if t.Part == 0 && t.Servers == nil && t.Kind != "store" && !strings.HasPrefix(t.Kind, "list-") {
+			wrong(at, "nobody is in trouble: part or servers is needed")
+		}
+		if slices.Contains([]string{"errors", "resets", "drop"}, t.Kind) {
+			between(at+".size", t.Size, 0.0001, 1)
+		}
+	}
+	for name, want := range f.Expect {
+		if _, err := readLimit(want); err != nil {
+			wrong("expect."+name, "%v", err)
+		}
+		if !figureName.MatchString(name) {
+			wrong("expect."+name, "there is no such figure; `hatchlab figures` lists them")
+		}
+	}
+	if f.Load.Trace != "" && len(faults) == 0 {
+		if err := f.readTrace(); err != nil {
+			wrong("load.trace", "%v", err)
+		}
+	}
+	slices.SortStableFunc(faults, func(a, b error) int { return cmp.Compare(a.Error(), b.Error()) })
+	return faults
+}
+
+func (f *File) readTrace() error {
+	path := f.Load.Trace
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(filepath.Dir(f.Path), path)
+	}
+	in, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	f.trace, err = load.ReadTrace(in, path, f.products())
+	return err
+}
+
+// limit is a bound on a figure.
+type limit struct {
+	sign  string
+	bound float64
+}
+
+var limitForm = regexp.MustCompile(`^(<=|>=|<|>|=)\s*(\S+)$`)
+
+// readLimit reads a bound such as ">= 0.9" or "<= 300ms"; times are figures in milliseconds.
+func readLimit(text string) (limit, error) {
+	parts := limitForm.FindStringSubmatch(strings.TrimSpace(text))
+	if parts == nil {
+		return limit{}, fmt.Errorf("%q is no bound such as \">= 0.9\" or \"<= 300ms\"", text)
+	}
+	if x, err := strconv.ParseFloat(parts[2], 64); err == nil {
+		return limit{parts[1], x}, nil
+	}
+	d, err := time.ParseDuration(parts[2])
+	if err != nil {
+		return limit{}, fmt.Errorf("%q is neither a number nor a time", parts[2])
+	}
+	return limit{parts[1], float64(d.Microseconds()) / 1000}, nil
+}
+
+// holds tells whether a figure keeps to it; one that is no number never does.
+func (l limit) holds(x float64) bool {
+	switch l.sign {
+	case "<=":
+		return x <= l.bound
+	case ">=":
+		return x >= l.bound
+	case "<":
+		return x < l.bound
+	case ">":
+		return x > l.bound
+	}
+	return x == l.bound
+}
+
+// products are what the load needs of the products.
+func (f *File) products() []load.Product {
+	list := make([]load.Product, len(f.Product))
+	for i, p := range f.Product {
+		list[i] = load.Product{Name: p.Name, Share: p.Share, Life: p.Life.micros(), Quoted: p.Quoted.micros(),
+			Limit: p.Limit.micros(), Message: p.Message.micros(), Gain: cmp.Or(p.Gain, 1)}
+		if list[i].Message == 0 {
+			list[i].Message = 150 * ledger.Millisecond
+		}
+	}
+	return list
+}
+
+// Plan is what the fleet is made of.
+func (f *File) Plan() fleet.Plan {
+	x := f.Fleet
+	p := fleet.Plan{Servers: x.Servers, Zones: x.Zones, Between: x.Between.micros(), CellSize: x.CellSize, SetUp: x.SetUp.micros(),
+		Probe: x.Probe.micros(), Load: x.Load.micros(), LoadSpread: x.LoadSpread, LoadChange: x.LoadChange.micros(),
+		GroupCost: x.GroupCost, ConnCap: x.ConnectionsPerCore, QueueCap: x.QueuePerCore, Message: x.Message.micros(),
+		Cold:   fleet.Cold{From: x.Cold.From, Warm: x.Cold.Warm.micros(), Multiple: x.Cold.Multiple, Window: x.Cold.Window.micros()},
+		Notice: x.Notice.micros(), Weights: x.Weights, TellsLoad: x.TellsLoad, Probes: x.Probes, Sheds: x.Sheds}
+	for _, k := range x.Kind {
+		p.Kinds = append(p.Kinds, fleet.Kind{Name: k.Name, Share: k.Share, Cores: k.Cores, Speed: k.Speed, Spread: k.Spread})
+	}
+	return p
+}
+
+// arrivals are those of a run with a seed.
+func (f *File) arrivals(length ledger.Micros, seed uint64) []load.Arrival {
+	if f.trace != nil {
+		end := slices.IndexFunc(f.trace, func(a load.Arrival) bool { return a.At >= length })
+		if end < 0 {
+			end = len(f.trace)
+		}
+		return f.trace[:end]
+	}
+	bends := []load.Bend{{Rate: f.Load.Rate}}
+	if len(f.Load.Bend) > 0 {
+		bends = nil
+		for _, b := range f.Load.Bend {
+			bends = append(bends, load.Bend{At: b.At.micros(), Rate: b.Rate})
+		}
+	}
+	return load.Draw(bends, length, f.products(), load.Groups{Count: f.Load.Groups, Zipf: f.Load.Zipf}, seed)
+}
+
+func (f *File) habits() load.Habits {
+	l := f.Load
+	return load.Habits{Retries: l.Retries, Wait: l.Wait.micros(), Heed: l.Heed, Rejoin: l.Rejoin.micros(), Return: l.Return.micros(),
+		Every: l.Every.micros(), Marks: l.Marks, Skew: l.Skew, Zones: len(f.Fleet.Zones)}
+}
+
+// script is the list of troubles.
+func (f *File) script() []fleet.Trouble {
+	var script []fleet.Trouble
+	for _, t := range f.Trouble {
+		script = append(script, fleet.Trouble{Kind: t.Kind, At: t.At.micros(), For: t.For.micros(), Part: t.Part, Servers: t.Servers, Size: t.Size})
+	}
+	return script
+}
