Instances can be asked and ordered: control surface, and orders beside the list

Need: operators log into each proxy today, and nothing but discovery can drain a server.

The bare relay no longer splices: it ran out of descriptors at 3,332 connections, six for each.

--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -2,6 +2,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,21 +18,27 @@
 
 	"github.com/spf13/pflag"
 
+	"hatchproxy/internal/control"
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/opening"
 	"hatchproxy/internal/proxy"
 	"hatchproxy/logic"
+	"hatchproxy/orders"
 )
 
 const usage = `hatchproxy places long-lived connections on servers.
 
-  hatchproxy serve [--config FILE] [--log-level LEVEL]    run one proxy, until SIGTERM
+  hatchproxy serve [--config FILE] [--log-level LEVEL] [--control ADDRESS] [--orders FILE]
+                                                          run one proxy, until SIGTERM
   hatchproxy config check [--config FILE]                 read the configuration and say what is wrong with it
   hatchproxy version
 
 The configuration is the file that $ROUTER_CONFIG names; $ROUTER_NAME and $ROUTER_LISTEN go before what stands in
 it, $ROUTER_DISCOVERY counts where it names none. On SIGHUP the file is read again: a new address of discovery
 counts at once, all else from the next start on.
+
+--control unix:PATH, or a loopback address with a port, lets operators ask what the proxy sees and give it orders; it
+is off by default. --orders names a file of orders, a JSON list, that the proxy obeys before it takes any work.
 `
 
 func main() {
@@ -49,13 +57,15 @@
 	flags.Usage = func() { fmt.Fprint(out, usage) }
 	file := flags.String("config", "", "the configuration, instead of the one that $ROUTER_CONFIG names")
 	level := flags.String("log-level", "info", "debug, info, warn or error")
+	surface := flags.String("control", "", "where operators reach this proxy: unix:PATH or a loopback address; off if empty")
+	held := flags.String("orders", "", "a file of orders that are obeyed from the start")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
 	words := flags.Args()
 	switch {
 	case len(words) == 1 && words[0] == "serve":
-		return serve(*file, *level)
+		return serve(*file, *level, *surface, *held)
 	case len(words) == 2 && words[0] == "config" && words[1] == "check":
 		paper, err := read(*file)
 		if err != nil {
@@ -93,17 +103,17 @@
 	return text
 }
 
-func serve(file, level string) error {
+func serve(file, level, surface, held string) error {
 	// Before all else: a signal that is not caught yet ends the program, and SIGHUP must never.
 	leave, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(again, syscall.SIGHUP)
 
-	var lowest slog.Level
+	var lowest slog.LevelVar
 	if err := lowest.UnmarshalText([]byte(level)); err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lowest}))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &lowest}))
 	paper, err := read(file)
 	if err != nil {
 		return err
@@ -131,8 +141,41 @@
 		}
 		return service(paper), nil
 	}
-	return proxy.New(log.With("proxy", paper.Name()), b, listen, service(paper), paper.Known(), products, limits,
-		zones, models, paper.Dialing(), paper.Late(), sockets).Run(leave, again, reread)
+	log = log.With("proxy", paper.Name())
+	p := proxy.New(log, b, listen, service(paper), paper.Known(), products, limits,
+		zones, models, paper.Dialing(), paper.Late(), sockets)
+	first, err := readOrders(held)
+	if err != nil {
+		return err
+	}
+	p.Introduce(proxy.About{Name: paper.Name(), Version: version(), Config: paper.Sum(), Level: &lowest}, first)
+	if surface != "" {
+		c, err := control.Open(surface, p, log)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+	}
+	return p.Run(leave, again, reread)
+}
+
+// readOrders reads the orders with which a proxy starts. A file that is wrong anywhere is refused whole: a drain that is
+// not heard is worse than a start that fails.
+func readOrders(path string) ([]orders.Order, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("--orders: %w", err)
+	}
+	var found []orders.Order
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&found); err != nil {
+		return nil, fmt.Errorf("--orders: %s: %w", path, err)
+	}
+	return found, nil
 }
 
 // service is where a configuration says that the list of servers is had.
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+
+	"hatchproxy/orders"
+)
+
+// Client asks a control surface.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// Dial names a surface by its address; nothing is sent yet.
+func Dial(address string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	c := &Client{base: "http://" + address, http: &http.Client{Transport: t}}
+	if path, unix := strings.CutPrefix(address, "unix:"); unix {
+		c.base = "http://instance"
+		t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "unix", path)
+		}
+	}
+	return c
+}
+
+// Close gives its idle connections back.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// mostAnswer bounds what is read of an answer: a status with thousands of servers.
+const mostAnswer = 8 << 20
+
+func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
+	var in io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		in = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("%s/v%d/%s", c.base, Version, path), in)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		var said struct{ Error string }
+		if json.Unmarshal(text, &said) != nil || said.Error == "" {
+			said.Error = resp.Status
+		}
+		return &Refusal{resp.StatusCode, said.Error}
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(text, into)
+}
+
+// Refusal is an answer that says no.
+type Refusal struct {
+	Status int
+	Why    string
+}
+
+func (r *Refusal) Error() string { return r.Why }
+
+// Status asks what the instance sees.
+func (c *Client) Status(ctx context.Context) (s Status, err error) {
+	return s, c.call(ctx, http.MethodGet, "status", nil, &s)
+}
+
+// Order gives an order.
+func (c *Client) Order(ctx context.Context, o orders.Order) (a orders.Answer, err error) {
+	return a, c.call(ctx, http.MethodPost, "orders", o, &a)
+}
+
+// Reload has the instance read its configuration again; Leave has it go; Level changes what it logs.
+func (c *Client) Reload(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, "reload", nil, nil)
+}
+
+func (c *Client) Leave(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, "leave", nil, nil)
+}
+
+func (c *Client) Level(ctx context.Context, level slog.Level) error {
+	return c.call(ctx, http.MethodPost, "level", map[string]slog.Level{"level": level}, nil)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -19,7 +19,7 @@
 // List is told what an answer says.
 type List interface {
 	Whole()
-	Entry(id logic.ServerID, endpoint, zone, model string, cell logic.CellID, state logic.State, weight float64,
+	Entry(uid, endpoint, zone, model string, cell logic.CellID, state logic.State, weight float64,
 		launched logic.Micros)
 	Done()
 }
@@ -59,7 +59,7 @@
 			l.Whole()
 		}
 		for _, e := range found.Targets {
-			l.Entry(ID(e.UID), e.Endpoint, e.AZ, e.Model, logic.CellID(e.PodGroup), states[e.State],
+			l.Entry(e.UID, e.Endpoint, e.AZ, e.Model, logic.CellID(e.PodGroup), states[e.State],
 				e.CapacityHint, logic.Micros(e.BootMS)*logic.Millisecond)
 		}
 		l.Done()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -15,9 +15,9 @@
 
 func (l *told) Whole() { *l = append(*l, "whole") }
 func (l *told) Done()  { *l = append(*l, "done") }
-func (l *told) Entry(id logic.ServerID, endpoint, zone, model string, cell logic.CellID, state logic.State,
+func (l *told) Entry(uid, endpoint, zone, model string, cell logic.CellID, state logic.State,
 	weight float64, launched logic.Micros) {
-	*l = append(*l, fmt.Sprint(id == discovery.ID("s-1"), endpoint, zone, model, cell, state, weight, launched))
+	*l = append(*l, fmt.Sprint(uid, endpoint, zone, model, cell, state, weight, launched))
 }
 
 func TestAnAnswerIsToldFieldByField(t *testing.T) {
@@ -27,7 +27,7 @@
 	require.Equal(t, int64(43), version)
 	l := &told{}
 	tell(l)
-	require.Equal(t, told{"whole", fmt.Sprint(true, "h:1", "a", "m2", 3, logic.Draining, 1.5, 7000), "done"}, *l)
+	require.Equal(t, told{"whole", fmt.Sprint("s-1", "h:1", "a", "m2", 3, logic.Draining, 1.5, 7000), "done"}, *l)
 }
 
 func FuzzDecode(f *testing.F) {
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -1,6 +1,7 @@
 package opening
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 	memoryMB, sockets int64
 
 	known json.RawMessage
+	sum   string
 }
 
 // FromEnvironment reads the file that ROUTER_CONFIG names; ROUTER_NAME and ROUTER_LISTEN, where set, go before
@@ -47,6 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	p.sum = fmt.Sprintf("%x", sha256.Sum256(text))[:16]
 	for name, place := range map[string]*string{
 		"ROUTER_NAME": &p.name, "ROUTER_LISTEN": &p.listen,
 	} {
@@ -118,6 +121,9 @@
 // leastSockets leaves room for the program's own descriptors and a few connections.
 const leastSockets = 64
 
+// Sum tells one configuration from another: the beginning of its SHA-256.
+func (p *Paper) Sum() string { return p.sum }
+
 // Name is the proxy's name, the same after a restart.
 func (p *Paper) Name() string { return p.name }
 
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -15,7 +15,13 @@
 // server is where a server of the list is found, and how it answers messages.
 type server struct {
 	id       logic.ServerID
+	uid      string
 	endpoint string
+	zone     logic.ZoneID
+	model    logic.ModelID
+	cell     logic.CellID
+	weight   float64
+	launched logic.Micros
 	standing int
 	took     []answered
 	late     bool // its messages were told to be late
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"hatchproxy/internal/host"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/logic"
+	"hatchproxy/orders"
 )
 
 // Proxy is one real proxy. Everything below the gap belongs to the loop.
@@ -54,6 +55,10 @@
 	why      error           // of the last one
 	lastID   logic.AttachmentID
 	servers  map[logic.ServerID]*server
+	desk     *orders.Desk
+	about    About
+	reread   func() (*discovery.Service, error)
+	listAt   logic.Micros // when the list was last told
 	version  int64
 	watch    context.CancelFunc
 	watching int // the number of the watch whose answers count
@@ -79,6 +84,7 @@
 		zones: map[string]logic.ZoneID{}, models: map[string]logic.ModelID{},
 		dialing: dialing, late: late, most: int(sockets) - ownSockets,
 		clients: map[logic.AttachmentID]*client{}, ids: map[uint64]bool{}, servers: map[logic.ServerID]*server{}, version: discovery.None,
+		desk: orders.New(),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	for i, name := range products {
@@ -115,6 +121,7 @@
 // tells where the server list is had from now on.
 func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (*discovery.Service, error)) error {
 	defer p.stop()
+	p.reread = reread
 	go func() {
 		<-p.started
 		for {
@@ -122,12 +129,9 @@
 			case <-leave:
 				p.post(p.leave)
 			case <-again:
-				service, err := reread()
-				if err != nil {
+				if err := p.Reload(p.ctx); err != nil {
 					p.log.Error("the new configuration is of no use, the old one is kept", "error", err)
-					continue
 				}
-				p.post(func() { p.renew(service) })
 			case <-p.ctx.Done():
 				return
 			}
@@ -259,10 +263,14 @@
 	cached bool
 }
 
-func (l *listed) Whole() { l.in.ListWhole(l.now()) }
+func (l *listed) Whole() {
+	l.in.ListWhole(l.now())
+	l.desk.Whole()
+}
 
-func (l *listed) Entry(id logic.ServerID, endpoint, zone, model string, cell logic.CellID, state logic.State,
+func (l *listed) Entry(uid, endpoint, zone, model string, cell logic.CellID, state logic.State,
 	weight float64, launched logic.Micros) {
+	id := discovery.ID(uid)
 	s := l.servers[id]
 	if s == nil {
 		s = &server{id: id}
@@ -271,10 +279,20 @@
 	if endpoint != "" {
 		s.endpoint = endpoint
 	}
-	l.in.Listed(l.now(), id, numbered(l.zones, zone), numbered(l.models, model), cell, state, weight, launched)
+	s.uid, s.zone, s.model, s.cell, s.weight, s.launched = uid, numbered(l.zones, zone), numbered(l.models, model), cell, weight, launched
+	l.hear(s, l.desk.Listed(l.now(), id, state, launched))
+}
+
+func (l *listed) Done() {
+	l.desk.Done()
+	l.in.ListDone(l.now(), l.cached)
+	l.listAt = l.now()
 }
 
-func (l *listed) Done() { l.in.ListDone(l.now(), l.cached) }
+// hear tells the decisions a server's state, as list and orders have it together.
+func (p *Proxy) hear(s *server, state logic.State) {
+	p.in.Listed(p.now(), s.id, s.zone, s.model, s.cell, state, s.weight, s.launched)
+}
 
 // numbered finds a name's number; one that the settings did not name gets the next.
 func numbered[N ~uint16](names map[string]N, name string) N {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -30,6 +30,7 @@
 	list   *fleet.Hand
 	leave  chan os.Signal
 	ended  chan error
+	proxy  *proxy.Proxy
 }
 
 const book = `localities=a
@@ -64,7 +65,7 @@
 	}
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &stage{t, free.Addr().String(), list, make(chan os.Signal, 1), make(chan error, 1)}
+	s := &stage{t, free.Addr().String(), list, make(chan os.Signal, 1), make(chan error, 1), nil}
 	require.NoError(t, free.Close())
 	b, err := opening.Lines(book).Balancer(7)
 	require.NoError(t, err)
@@ -72,6 +73,8 @@
 	p := proxy.New(log, b, s.listen, discovery.At(list.Address(), time.Second), nil, []string{"chat", "pay"},
 		[]logic.Micros{1500 * logic.Millisecond, 1500 * logic.Millisecond}, []string{"a"}, []string{"m"},
 		250*logic.Millisecond, 50*logic.Millisecond, sockets)
+	s.proxy = p
+	p.Introduce(proxy.About{Name: "n0", Level: new(slog.LevelVar)}, nil)
 	go func() { s.ended <- p.Run(s.leave, nil, nil) }()
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", s.listen)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -104,6 +104,7 @@
 func (p *Proxy) pulse() {
 	p.after(second, p.pulse)
 	now := p.now()
+	p.expire(now)
 	if p.refused > 0 {
 		p.log.Info("clients' bytes were refused", "count", p.refused, "last", p.why)
 		p.refused = 0
--- /dev/null
+++ b/internal/proxy/surface_test.go
@@ -0,0 +1,181 @@
+package proxy_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/control"
+	"hatchproxy/orders"
+)
+
+// governed is a stage whose proxy is reached by its control surface.
+func governed(t *testing.T, answers ...string) (*stage, *control.Client, string) {
+	s, _ := play(t, 1024, answers...)
+	folder, err := os.MkdirTemp("", "hc") // short: a socket's path has 107 bytes at most
+	require.NoError(t, err)
+	path := filepath.Join(folder, "n0.sock")
+	c, err := control.Open("unix:"+path, s.proxy, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	client := control.Dial("unix:" + path)
+	t.Cleanup(func() {
+		client.Close()
+		c.Close()
+		_ = os.RemoveAll(folder)
+	})
+	return s, client, path
+}
+
+func drain(term, number uint64, server string) orders.Order {
+	return orders.Order{ID: fmt.Sprint("o", number), Term: term, Number: number, Verb: orders.Drain, Server: server}
+}
+
+func TestADrainByOrderSendsNothingNewThereAndMovesWhoStands(t *testing.T) {
+	s, client, _ := governed(t, "UP a", "UP b")
+	ctx := context.Background()
+	var onA []*caller
+	for range 12 {
+		c := s.open("c=chat,d=1500")
+		line, err := c.in.ReadString('\n')
+		require.NoError(t, err)
+		if line == "UP a\r\n" {
+			onA = append(onA, c)
+		}
+	}
+	require.NotEmpty(t, onA)
+	ans, err := client.Order(ctx, drain(1, 1, "s0"))
+	require.NoError(t, err)
+	require.Equal(t, orders.Obeyed, ans.Verdict)
+	require.InDelta(t, float64(time.Now().UnixMicro()), float64(ans.At), 5e6)
+	for range 20 {
+		s.open("c=chat,d=1500").hears("UP b")
+	}
+	for _, c := range onA {
+		c.hears("MOVE")
+		c.ends(false)
+	}
+	s.list.Set("s1", "", "ready") // a change of the list on another server leaves the order in force
+	s.list.Set("s0", "", "ready")
+	s.open("c=chat,d=1500").hears("UP b")
+	st, err := client.Status(ctx)
+	require.NoError(t, err)
+	require.Len(t, st.Servers, 2)
+	require.Equal(t, 1, len(st.Orders))
+	for _, x := range st.Servers {
+		require.Equal(t, x.UID == "s0", x.Ordered)
+		if x.UID == "s0" {
+			require.Equal(t, []string{"draining", "ready", "draining"}, []string{x.State, x.Listed, x.Passed})
+			require.Zero(t, x.Standing)
+		}
+	}
+	back := drain(1, 2, "s0")
+	back.Verb = orders.Undrain
+	ans, err = client.Order(ctx, back)
+	require.NoError(t, err)
+	require.Equal(t, orders.Obeyed, ans.Verdict)
+	require.Eventually(t, func() bool {
+		c := s.open("c=chat,d=1500")
+		line, _ := c.in.ReadString('\n')
+		return line == "UP a\r\n"
+	}, 5*time.Second, time.Millisecond)
+	ans, err = client.Order(ctx, drain(1, 1, "s0"))
+	require.NoError(t, err)
+	require.Equal(t, orders.Stale, ans.Verdict)
+}
+
+// Guards against those who ask slowly, hugely, nonsensically or all at once.
+func TestHostileControlClientsDoNotHoldTheLoopUp(t *testing.T) {
+	s, client, path := governed(t, "UP a")
+	for range 60 {
+		c, err := net.Dial("unix", path)
+		require.NoError(t, err)
+		defer c.Close()
+		_, _ = c.Write([]byte("POST /v1/orders HTTP/1.1\r\nHost: x\r\nContent-Le"))
+	}
+	for range 50 {
+		began := time.Now()
+		s.open("c=chat,d=1500").hears("UP a")
+		require.Less(t, time.Since(began), 500*time.Millisecond)
+	}
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := client.Status(ctx)
+		return err == nil
+	}, 15*time.Second, 50*time.Millisecond, "those who say nothing more are let go of")
+
+	raw := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", path)
+	}}}
+	defer raw.CloseIdleConnections()
+	say := func(method, at, body string) (int, string) {
+		req, err := http.NewRequest(method, "http://x"+at, strings.NewReader(body))
+		require.NoError(t, err)
+		resp, err := raw.Do(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(bytes.TrimSpace(text))
+	}
+	status, text := say("POST", "/v2/orders", "{}")
+	require.Equal(t, http.StatusNotFound, status)
+	require.Contains(t, text, "control protocol 1 is spoken", "another version is told so")
+	status, text = say("POST", "/v1/orders", `{"id":"a","verb":"drain","server":"s0","gently":true}`)
+	require.Equal(t, http.StatusBadRequest, status)
+	require.Contains(t, text, `unknown field \"gently\"`, "a word of a newer version is not passed over")
+	status, _ = say("POST", "/v1/orders", `{"id":"`+strings.Repeat("x", 1<<20)+`"}`)
+	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+	status, _ = say("POST", "/v1/orders", `{} {}`)
+	require.Equal(t, http.StatusBadRequest, status)
+	status, _ = say("POST", "/v1/level", `{"level":"LOUD"}`)
+	require.Equal(t, http.StatusBadRequest, status)
+	require.NoError(t, client.Level(context.Background(), slog.LevelDebug))
+	require.ErrorContains(t, client.Reload(context.Background()), "nothing to read again")
+	many := 0
+	for range 300 {
+		if status, _ := say("GET", "/v1/status", ""); status == http.StatusTooManyRequests {
+			many++
+		}
+	}
+	require.Positive(t, many)
+	s.open("c=chat,d=1500").hears("UP a")
+}
+
+func TestTheControlSurfaceTakesNoAddressThatOthersReachAndNoFileThatIsNotItsOwn(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for _, at := range []string{"0.0.0.0:0", "8.8.8.8:80", "nowhere", "unix:/nowhere/at/all.sock"} {
+		_, err := control.Open(at, nil, log)
+		require.Error(t, err, at)
+	}
+	file := filepath.Join(t.TempDir(), "a")
+	require.NoError(t, os.WriteFile(file, []byte("keep me"), 0o600))
+	_, err := control.Open("unix:"+file, nil, log)
+	require.Error(t, err)
+	text, _ := os.ReadFile(file)
+	require.Equal(t, "keep me", string(text))
+
+	folder, err := os.MkdirTemp("", "hc")
+	require.NoError(t, err)
+	defer os.RemoveAll(folder)
+	left := filepath.Join(folder, "left.sock")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: left, Net: "unix"})
+	require.NoError(t, err)
+	l.SetUnlinkOnClose(false)
+	_, err = control.Open("unix:"+left, nil, log)
+	require.ErrorContains(t, err, "somebody listens")
+	require.NoError(t, l.Close())
+	c, err := control.Open("unix:"+left, nil, log)
+	require.NoError(t, err, "what one left that was killed is taken over")
+	c.Close()
+}
--- a/lab/rogue/rogue.go
+++ b/lab/rogue/rogue.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"strings"
 	"sync"
@@ -273,7 +272,20 @@
 	}
 }
 
+// copyAndClose reads and writes, and no more. io.Copy would splice the sockets through pipes, which costs four more
+// descriptors a connection.
 func copyAndClose(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
+	b := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 {
+			if _, err := to.Write(b[:n]); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
 	_ = to.Close()
 }
