--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,295 @@
+// Package agent keeps instances of hatchproxy running and brings each to what was agreed on: a replicated log of
+// commands, a keeper for each local instance, a roll of who is there, and a surface for the command-line tool.
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"hatchproxy/agent/keeper"
+	"hatchproxy/agent/members"
+	"hatchproxy/agent/wanted"
+	"hatchproxy/internal/control"
+	"hatchproxy/logic"
+)
+
+// Plan is an agent's configuration, as it is written down.
+type Plan struct {
+	Name     string     // the agent's, the same after a restart
+	Listen   string     // where the tool and other agents reach it: a loopback address with a port
+	Log      string     // where the other agents' logs reach its own: the same
+	Data     string     // the folder of its log, and of the instances' logs
+	Peer     []Peer     // the other agents
+	Instance []Instance // those that it keeps
+}
+
+// Peer is another agent.
+type Peer struct{ Name, Listen, Log string }
+
+// Instance is one that the agent keeps.
+type Instance struct {
+	Name    string
+	Command []string // what starts it; --control and --orders are added
+	Control string   // where its control surface is to be
+}
+
+var names = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+
+// ReadPlan reads a configuration and checks it; an error tells file, line and cause.
+func ReadPlan(path string) (*Plan, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	p := &Plan{}
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(p); err != nil {
+		var missing *toml.StrictMissingError
+		var wrong *toml.DecodeError
+		switch {
+		case errors.As(err, &missing):
+			line, _ := missing.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d: %s is unknown", path, line, strings.Join(missing.Errors[0].Key(), "."))
+		case errors.As(err, &wrong):
+			line, _ := wrong.Position()
+			return nil, fmt.Errorf("%s:%d: %w", path, line, err)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := p.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+func (p *Plan) check() error {
+	var faults []error
+	seen := map[string]bool{}
+	name := func(what, s string) {
+		if !names.MatchString(s) {
+			faults = append(faults, fmt.Errorf("%s: %.40q is no name", what, s))
+		}
+		if seen[s] {
+			faults = append(faults, fmt.Errorf("%s: %q is named twice", what, s))
+		}
+		seen[s] = true
+	}
+	loopback := func(what, s string) {
+		if at, err := netip.ParseAddrPort(s); err != nil || !at.Addr().IsLoopback() {
+			faults = append(faults, fmt.Errorf("%s: %q is no loopback address with a port", what, s))
+		}
+	}
+	name("name", p.Name)
+	loopback("listen", p.Listen)
+	loopback("log", p.Log)
+	if p.Data == "" {
+		faults = append(faults, errors.New("data: the folder is missing"))
+	}
+	for _, peer := range p.Peer {
+		name("peer", peer.Name)
+		loopback("peer "+peer.Name+": listen", peer.Listen)
+		loopback("peer "+peer.Name+": log", peer.Log)
+	}
+	for _, i := range p.Instance {
+		name("instance", i.Name)
+		if len(i.Command) == 0 || i.Control == "" {
+			faults = append(faults, fmt.Errorf("instance %s: command and control are needed", i.Name))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// Agent is one that runs.
+type Agent struct {
+	config    *Plan
+	log       *slog.Logger
+	journal   *Journal
+	instances []*instance
+	settled   bool // the log is at hand: until then nothing is started, or an instance would miss what stands
+
+	rollMu sync.Mutex
+	there  *members.Roll
+}
+
+type roll = *members.Roll
+
+const (
+	// An instance answers each half second; an agent as often.
+	suspect = 2 * logic.Second
+	lose    = 8 * logic.Second
+	settle  = 5 * logic.Second
+)
+
+func (a *Agent) roll(do func(roll)) {
+	a.rollMu.Lock()
+	defer a.rollMu.Unlock()
+	do(a.there)
+}
+
+// Run keeps the agent until ctx ends. Its instances go on without it.
+func Run(ctx context.Context, p *Plan, log *slog.Logger) error {
+	log = log.With("agent", p.Name)
+	peers := map[string]string{p.Name: p.Log}
+	for _, peer := range p.Peer {
+		peers[peer.Name] = peer.Log
+	}
+	journal, err := OpenJournal(p.Data, p.Name, peers)
+	if err != nil {
+		return err
+	}
+	a := &Agent{config: p, log: log, journal: journal, there: members.New(suspect, lose, settle)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, c := range p.Instance {
+		a.there.Expect(now(), c.Name, "instance")
+		a.instances = append(a.instances, a.newInstance(c))
+	}
+	for _, peer := range p.Peer {
+		a.there.Expect(now(), peer.Name, "agent")
+	}
+	surface, err := a.serve(ctx)
+	if err != nil {
+		return errors.Join(err, journal.Close())
+	}
+	log.Info("serving", "listen", p.Listen, "instances", len(p.Instance), "peers", len(p.Peer))
+	a.awaitLog(ctx)
+	var keeping sync.WaitGroup
+	for _, i := range a.instances {
+		keeping.Go(func() { i.run(ctx) })
+	}
+	for _, peer := range p.Peer {
+		keeping.Go(func() { a.hear(ctx, peer) })
+	}
+	keeping.Go(func() { a.count(ctx) })
+	<-ctx.Done()
+	keeping.Wait()
+	return errors.Join(surface(), journal.Close())
+}
+
+// waitForLog is how long an agent waits for a leader before it goes on with what it knows: instances whose machine
+// comes back alone are better served with old orders than not at all.
+const waitForLog = 5 * time.Second
+
+// awaitLog waits until the log is at hand: a leader is known, and what it had agreed on before is here.
+func (a *Agent) awaitLog(ctx context.Context) {
+	late := time.After(waitForLog)
+	for {
+		if leader := a.journal.Leader(); leader != "" && a.journal.raft.AppliedIndex() >= a.journal.raft.CommitIndex() && a.journal.raft.CommitIndex() > 0 {
+			break
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+			continue
+		case <-late:
+			a.log.Warn("no leader is known; instances are started with what this agent knows")
+		case <-ctx.Done():
+		}
+		break
+	}
+	a.settled = true
+}
+
+// count finds who has fallen silent.
+func (a *Agent) count(ctx context.Context) {
+	for {
+		select {
+		case <-time.After(200 * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
+		a.roll(func(r roll) {
+			for _, m := range r.Tick(now()) {
+				a.log.Warn("a member's state", "member", m.Name, "kind", m.Kind, "state", m.State)
+			}
+		})
+	}
+}
+
+// hear asks another agent whether it is there.
+func (a *Agent) hear(ctx context.Context, peer Peer) {
+	c := Dial(peer.Listen)
+	defer c.Close()
+	for {
+		call, cancel := context.WithTimeout(ctx, answering)
+		if err := c.Ping(call); err == nil {
+			a.roll(func(r roll) { r.Heard(now(), peer.Name) })
+		}
+		cancel()
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// View is what an agent tells.
+type View struct {
+	Agent     string           `json:"agent"`
+	Leader    string           `json:"leader"`
+	Term      uint64           `json:"term"`
+	Applied   uint64           `json:"applied"`
+	Now       logic.Micros     `json:"now"`
+	Members   []members.Member `json:"members"`
+	Past      []wanted.Entry   `json:"past"`
+	Orders    []wanted.Entry   `json:"orders"`
+	Instances []InstanceView   `json:"instances"`
+	Silent    []string         `json:"silent"` // agents that did not answer, with what they keep
+}
+
+// InstanceView is what is told of an instance.
+type InstanceView struct {
+	Name      string           `json:"name"`
+	Agent     string           `json:"agent"`
+	Control   string           `json:"control"`
+	Wanted    bool             `json:"wanted"`
+	Restart   uint64           `json:"restart"`   // the restart that is wanted last
+	Restarted uint64           `json:"restarted"` // and that was done last
+	State     keeper.State     `json:"state"`
+	Member    members.State    `json:"member"`
+	Falls     int              `json:"falls"`
+	Why       string           `json:"why,omitempty"`
+	Heard     map[string]Heard `json:"heard"` // by server
+	Status    *control.Status  `json:"status,omitempty"`
+	Polled    logic.Micros     `json:"polled"`
+}
+
+// view is what this agent knows by itself.
+func (a *Agent) view() View {
+	v := View{Agent: a.config.Name, Leader: a.journal.Leader(), Term: a.journal.Term(), Now: now(), Past: []wanted.Entry{}, Silent: []string{}}
+	states := map[string]members.State{}
+	a.roll(func(r roll) {
+		v.Members = r.All()
+		for _, m := range v.Members {
+			states[m.Name] = m.State
+		}
+	})
+	wishes := map[string]wanted.Wish{}
+	runs := map[string]bool{}
+	a.journal.View(func(s *wanted.State) {
+		v.Applied = s.Applied
+		v.Past = append(v.Past, s.Past...)
+		for _, e := range s.Orders {
+			v.Orders = append(v.Orders, e)
+		}
+		for _, i := range a.instances {
+			wishes[i.Name], runs[i.Name] = s.Runs(i.Name)
+		}
+	})
+	for _, i := range a.instances {
+		x := i.view(wishes[i.Name], runs[i.Name])
+		x.Member = states[i.Name]
+		v.Instances = append(v.Instances, x)
+	}
+	return v
+}
--- /dev/null
+++ b/agent/instance.go
@@ -0,0 +1,240 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"hatchproxy/agent/keeper"
+	"hatchproxy/agent/wanted"
+	"hatchproxy/internal/control"
+	"hatchproxy/logic"
+	"hatchproxy/orders"
+)
+
+// Heard is what an instance answered to an order.
+type Heard struct {
+	Number  uint64         `json:"number"`
+	Verdict orders.Verdict `json:"verdict"`
+	Why     string         `json:"why,omitempty"`
+	At      logic.Micros   `json:"at"` // Unix time at which the instance heard it
+}
+
+// instance is one that this agent keeps. A goroutine of its own does all that concerns it; the fields below the gap are
+// guarded by the lock.
+type instance struct {
+	Instance
+	agent   *Agent
+	control *control.Client
+	process *process
+	keeper  *keeper.Keeper
+	epoch   int64 // when the process that was heard last started
+
+	mu      sync.Mutex
+	heard   map[string]Heard // by server
+	status  *control.Status
+	polled  logic.Micros
+	state   keeper.State
+	falls   int
+	why     string
+	restart uint64
+}
+
+const (
+	// polling is how often an instance is asked how it is; the answer is its heartbeat.
+	polling = 500 * logic.Millisecond
+	// answering is how long it may take: one that is stopped answers when it goes on, and until then each try waits
+	// in its socket and counts the moment it wakes.
+	answering = time.Second
+	// looking is how often a process is looked after where nothing else happens.
+	looking = 50 * time.Millisecond
+)
+
+func now() logic.Micros { return logic.Micros(time.Now().UnixMicro()) }
+
+func (a *Agent) newInstance(c Instance) *instance {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(a.config.Name + "/" + c.Name))
+	return &instance{Instance: c, agent: a, control: control.Dial(c.Control), keeper: keeper.New(int64(h.Sum64())), heard: map[string]Heard{},
+		state: keeper.Stopped}
+}
+
+func (i *instance) path(kind string) string {
+	return filepath.Join(i.agent.config.Data, i.Name+"."+kind)
+}
+
+// run keeps the instance until ctx ends; the process goes on then.
+func (i *instance) run(ctx context.Context) {
+	if i.process = found(i.path("process")); i.process != nil {
+		i.keeper.Adopt(now(), i.process.Restart, false)
+		i.agent.log.Info("an instance was found running", "instance", i.Name, "pid", i.process.PID)
+	}
+	next := logic.Micros(0)
+	for ctx.Err() == nil {
+		changed := i.agent.journal.Changed()
+		i.want()
+		i.tend(ctx)
+		if i.process != nil {
+			if now() >= next {
+				next = now() + polling
+				i.poll(ctx)
+			}
+			i.tell(ctx)
+		}
+		i.mu.Lock()
+		i.state, i.falls, i.why = i.keeper.State()
+		i.restart = i.keeper.Restarted()
+		i.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(looking):
+		case <-ctx.Done():
+		}
+	}
+	i.control.Close()
+}
+
+// want takes over what is agreed on.
+func (i *instance) want() {
+	i.agent.journal.View(func(s *wanted.State) {
+		w, run := s.Runs(i.Name)
+		i.keeper.Want(now(), run && i.agent.settled, w.Restart)
+	})
+}
+
+// tend looks after the process.
+func (i *instance) tend(ctx context.Context) {
+	if i.process != nil {
+		if over, why := i.process.gone(); over {
+			i.process = nil
+			i.keeper.Ended(now(), why)
+			i.forget()
+			if s, falls, _ := i.keeper.State(); s == keeper.Looping {
+				i.agent.log.Error("an instance falls again and again", "instance", i.Name, "falls", falls, "why", why)
+			}
+		}
+	}
+	do, _ := i.keeper.Next(now())
+	switch do {
+	case keeper.Start:
+		i.start()
+	case keeper.Leave:
+		i.agent.roll(func(r roll) { r.Leaves(now(), i.Name) })
+		i.process.signal(syscall.SIGTERM)
+	case keeper.Kill:
+		i.agent.log.Warn("an instance is killed: it was not ready, or did not leave, in time", "instance", i.Name)
+		i.process.signal(syscall.SIGKILL)
+	}
+}
+
+// start starts the process, with the orders that stand in a file that it reads before it takes any work.
+func (i *instance) start() {
+	var held []orders.Order
+	i.agent.journal.View(func(s *wanted.State) { held = s.Told(i.agent.journal.Term()) })
+	text, err := json.Marshal(held)
+	if err == nil {
+		err = replace(i.path("orders"), text)
+	}
+	if err == nil {
+		command := append(append([]string{}, i.Command...), "--control", i.Control, "--orders", i.path("orders"))
+		i.keeper.Began(now())
+		if i.process, err = launch(command, i.path("log"), i.keeper.Restarted()); err == nil {
+			err = i.process.save(i.path("process"))
+		}
+	}
+	if err != nil {
+		i.agent.log.Error("an instance cannot be started", "instance", i.Name, "error", err)
+		if i.process == nil {
+			i.keeper.Ended(now(), err.Error())
+		}
+	}
+}
+
+// forget drops what one that has ended had answered.
+func (i *instance) forget() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.heard, i.status, i.epoch = map[string]Heard{}, nil, 0
+}
+
+// poll asks how the instance is.
+func (i *instance) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, answering)
+	defer cancel()
+	st, err := i.control.Status(ctx)
+	if err != nil {
+		return
+	}
+	if i.process == nil || st.PID != i.process.PID {
+		return // another's socket, or one that is about to go
+	}
+	if st.Started != i.epoch {
+		i.forget()
+		i.epoch = st.Started
+	}
+	i.mu.Lock()
+	i.status, i.polled = &st, now()
+	i.mu.Unlock()
+	if st.Ready && !st.Leaving {
+		i.keeper.Answers(now())
+	}
+	i.agent.roll(func(r roll) { r.Heard(now(), i.Name) })
+}
+
+// tell gives the instance the orders that it has not answered yet, oldest first.
+func (i *instance) tell(ctx context.Context) {
+	if i.epoch == 0 {
+		return // nobody has answered there yet; it started with what stood
+	}
+	var held []orders.Order
+	i.agent.journal.View(func(s *wanted.State) { held = s.Told(i.agent.journal.Term()) })
+	for _, o := range held {
+		i.mu.Lock()
+		done := i.heard[o.Server].Number >= o.Number
+		i.mu.Unlock()
+		if done {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, answering)
+		ans, err := i.control.Order(ctx, o)
+		cancel()
+		var no *control.Refusal
+		switch {
+		case errors.As(err, &no) && no.Status < 500 && no.Status != 429:
+			// It answers and does not understand: a version of another control protocol, most likely.
+			ans = orders.Answer{Verdict: orders.Refused, Why: no.Why, At: now()}
+		case err != nil:
+			return
+		}
+		i.note(o, ans)
+	}
+}
+
+func (i *instance) note(o orders.Order, ans orders.Answer) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	h := Heard{o.Number, ans.Verdict, ans.Why, ans.At}
+	if ans.Verdict == orders.Repeated {
+		h.Verdict = orders.Obeyed // it was heard before: by the file at its start, or by a call whose answer was lost
+	}
+	i.heard[o.Server] = h
+	i.agent.log.Log(context.Background(), slog.LevelInfo, "an order was heard", "instance", i.Name, "order", o.ID, "verdict", h.Verdict, "why", h.Why)
+}
+
+// view is what is told of an instance.
+func (i *instance) view(wish wanted.Wish, run bool) InstanceView {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	v := InstanceView{Name: i.Name, Agent: i.agent.config.Name, Control: i.Control, Wanted: run, Restart: wish.Restart, Restarted: i.restart,
+		State: i.state, Falls: i.falls, Why: i.why, Heard: map[string]Heard{}, Status: i.status, Polled: i.polled}
+	for server, h := range i.heard {
+		v.Heard[server] = h
+	}
+	return v
+}
--- /dev/null
+++ b/agent/journal.go
@@ -0,0 +1,209 @@
+package agent
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	boltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
+
+	"encoding/json"
+
+	"hatchproxy/agent/wanted"
+)
+
+// Journal is the replicated log of commands and the state that it leads to. It owns its files and its port.
+type Journal struct {
+	raft  *raft.Raft
+	store *boltdb.BoltStore
+	trans *raft.NetworkTransport
+	*machine
+}
+
+// machine applies the log to the state.
+type machine struct {
+	mu      sync.Mutex
+	state   wanted.State
+	changed chan struct{}
+}
+
+const (
+	// beat is how often a leader tells that it is there; without it for as long another is chosen. On one site's
+	// network, where a way takes milliseconds.
+	beat = 300 * time.Millisecond
+	// committing is how long a command may take until most agents have it.
+	committing = 5 * time.Second
+	// keptSnapshots are two: the one before serves if the last is torn.
+	keptSnapshots = 2
+)
+
+// OpenJournal opens an agent's log in a folder. peers are all agents by name with the addresses where their logs are
+// reached, this one among them.
+func OpenJournal(folder, name string, peers map[string]string) (j *Journal, err error) {
+	at := filepath.Join(folder, "log.db")
+	// Guards against half a state: what cannot be read is said, and nothing is touched.
+	defer func() {
+		if p := recover(); p != nil {
+			j, err = nil, fmt.Errorf("%s is torn (%v); nothing was changed: set it aside, and the other agents, if there are any, tell this one what stands", at, p)
+		}
+	}()
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	store, err := boltdb.New(boltdb.Options{Path: at, BoltOptions: &bbolt.Options{Timeout: 2 * time.Second}})
+	if err != nil {
+		return nil, fmt.Errorf("%s cannot be opened; nothing was changed (is another agent running there?): %w", at, err)
+	}
+	shut := func(err error) (*Journal, error) { return nil, errors.Join(err, store.Close()) }
+	snapshots, err := raft.NewFileSnapshotStore(folder, keptSnapshots, io.Discard)
+	if err != nil {
+		return shut(err)
+	}
+	advertised, err := net.ResolveTCPAddr("tcp", peers[name])
+	if err != nil {
+		return shut(err)
+	}
+	trans, err := raft.NewTCPTransport(peers[name], advertised, 3, time.Second, io.Discard)
+	if err != nil {
+		return shut(err)
+	}
+	c := raft.DefaultConfig()
+	c.LocalID = raft.ServerID(name)
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = beat, beat, beat*2/3, 5*time.Millisecond
+	c.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})
+	j = &Journal{store: store, trans: trans, machine: &machine{changed: make(chan struct{})}}
+	had, err := raft.HasExistingState(store, store, snapshots)
+	if err != nil {
+		return shut(errors.Join(err, trans.Close()))
+	}
+	if !had {
+		var all raft.Configuration
+		for peer, address := range peers {
+			all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(peer), Address: raft.ServerAddress(address)})
+		}
+		if err := raft.BootstrapCluster(c, store, store, snapshots, trans, all); err != nil {
+			return shut(errors.Join(err, trans.Close()))
+		}
+	}
+	if j.raft, err = raft.NewRaft(c, j.machine, store, store, snapshots, trans); err != nil {
+		return shut(errors.Join(err, trans.Close()))
+	}
+	return j, nil
+}
+
+// Close ends it.
+func (j *Journal) Close() error {
+	return errors.Join(j.raft.Shutdown().Error(), j.trans.Close(), j.store.Close())
+}
+
+// errNotLeading is the answer of an agent that does not lead now.
+var errNotLeading = errors.New("this agent does not lead")
+
+// Say has a command agreed on and returns its number. It is only done by the agent that leads.
+func (j *Journal) Say(c wanted.Command) (uint64, error) {
+	if err := wanted.Check(c); err != nil {
+		return 0, err
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return 0, err
+	}
+	f := j.raft.Apply(text, committing)
+	if err := f.Error(); err != nil {
+		if errors.Is(err, raft.ErrNotLeader) {
+			return 0, errNotLeading
+		}
+		return 0, fmt.Errorf("it is not known whether it was agreed on: %w", err)
+	}
+	said := f.Response().(applied)
+	return said.number, said.err
+}
+
+// Leader is the name of the agent that leads; "" if none is known.
+func (j *Journal) Leader() string {
+	_, id := j.raft.LeaderWithID()
+	return string(id)
+}
+
+// Term is the present one.
+func (j *Journal) Term() uint64 { return j.raft.CurrentTerm() }
+
+// View reads the state; the state is not to be kept or changed.
+func (j *Journal) View(read func(*wanted.State)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	read(&j.state)
+}
+
+// Changed is closed with the next change.
+func (j *Journal) Changed() <-chan struct{} {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.changed
+}
+
+// applied is what became of a command.
+type applied struct {
+	number uint64
+	err    error
+}
+
+// Apply is called by the log with what was agreed on.
+func (m *machine) Apply(l *raft.Log) any {
+	var c wanted.Command
+	if err := json.Unmarshal(l.Data, &c); err != nil {
+		return applied{0, err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	number, err := m.state.Apply(l.Index, c)
+	m.wake()
+	return applied{number, err}
+}
+
+func (m *machine) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot and Restore keep the log short.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	text, err := m.state.Save()
+	return snapshot(text), err
+}
+
+func (m *machine) Restore(from io.ReadCloser) error {
+	defer from.Close()
+	text, err := io.ReadAll(from)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.state.Load(text); err != nil {
+		return err
+	}
+	m.wake()
+	return nil
+}
+
+type snapshot []byte
+
+func (s snapshot) Persist(to raft.SnapshotSink) error {
+	if _, err := to.Write(s); err != nil {
+		return errors.Join(err, to.Cancel())
+	}
+	return to.Close()
+}
+
+func (s snapshot) Release() {}
--- /dev/null
+++ b/cmd/hatchctl/main.go
@@ -0,0 +1,71 @@
+// Command hatchctl inspects and orders many instances of hatchproxy through their agents.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// The exit codes, as the help tells.
+const (
+	allObeyed  = 0
+	refused    = 1 // somebody refused, or a restart failed
+	cannotRun  = 2 // wrong words, or no agent answers
+	noAnswer   = 3 // not all answered in time
+	notAgreed  = 4 // the agents could not agree on the command, or it is not known whether they did
+	usageWords = `Exit codes: 0 all obeyed, 1 one refused or failed, 2 it could not run (wrong words, no agent), 3 not all answered in
+time, 4 the agents did not agree on the command, or it is not known whether they did (say it again: it counts once).`
+)
+
+// exit is an error with its code.
+type exit struct {
+	code int
+	why  string
+}
+
+func (e exit) Error() string { return e.why }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := command().ExecuteContext(ctx)
+	var e exit
+	switch {
+	case err == nil:
+		os.Exit(allObeyed)
+	case errors.As(err, &e):
+		fmt.Fprintln(os.Stderr, "hatchctl:", e.why)
+		os.Exit(e.code)
+	default:
+		fmt.Fprintln(os.Stderr, "hatchctl:", err)
+		os.Exit(cannotRun)
+	}
+}
+
+func command() *cobra.Command {
+	t := &tool{}
+	root := &cobra.Command{
+		Use: "hatchctl", Short: "Inspects and orders many instances of hatchproxy through their agents", SilenceUsage: true, SilenceErrors: true,
+		Long: `Speaks to an agent, and through it to all: orders are agreed on by the agents, kept, and given to every instance,
+also to those that come back later.
+
+` + usageWords,
+		Example: `  hatchctl status
+  hatchctl drain feed-7 --for 30m
+  hatchctl restart --rolling --share 0.2
+  hatchctl drain feed-7 --json --agent 127.0.0.1:7001,127.0.0.1:7002`,
+	}
+	f := root.PersistentFlags()
+	f.StringSliceVar(&t.agents, "agent", agentsFrom(os.Getenv("HATCHCTL_AGENT")), "agents' addresses; the first that answers is asked ($HATCHCTL_AGENT)")
+	f.BoolVar(&t.json, "json", false, "JSON instead of a table")
+	f.DurationVar(&t.within, "within", defaultWithin, "how long to wait for all to answer")
+	root.AddCommand(t.statusCommand(), t.membersCommand(), t.ordersCommand(), t.drainCommand("drain"), t.drainCommand("undrain"),
+		t.runCommand("start"), t.runCommand("stop"), t.restartCommand(), t.reloadCommand(), t.waitCommand())
+	return root
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -341,8 +341,7 @@
 				if s.machine.Use(now) < relieved && !s.sitting && !s.fault.mute {
 					break
 				}
-				c.write("MOVE\r\n")
-				c.end(false)
+				c.sendAway()
 			}
 		}
 		s.mu.Unlock()
--- a/lab/fleet/server.go
+++ b/lab/fleet/server.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"hatchproxy/lab/beat"
 	"hatchproxy/lab/ledger"
 )
 
@@ -68,7 +69,7 @@
 	last   Micros
 	owed   []int64 // the numbers that have no answer yet, in their order
 	silent bool
-	timers []*time.Timer
+	timers []*beat.Timer
 }
 
 // open starts the listeners: every zone's at an address of its own, so that an address can be told, taken away and
@@ -122,7 +123,7 @@
 
 // later runs a call after a while, unless the connection is over by then. The server's lock is held.
 func (c *conn) later(wait Micros, call func()) {
-	c.timers = append(c.timers, time.AfterFunc(wait.Span(), func() {
+	c.timers = append(c.timers, beat.At(time.Now().Add(wait.Span()), func() {
 		c.s.mu.Lock()
 		defer c.s.mu.Unlock()
 		if !c.over {
@@ -166,6 +167,19 @@
 	_ = c.Close()
 }
 
+// sendAway says MOVE and ends the connection. The sending ends at once, the rest a second later: a reset for what the
+// other side still sends would overtake the word. The server's lock is held.
+func (c *conn) sendAway() {
+	c.note(ledger.SaidMove, 0, "")
+	c.write("MOVE\r\n")
+	c.note(ledger.ServerEnded, 0, "")
+	c.release()
+	if t, tcp := c.Conn.(*net.TCPConn); tcp {
+		_ = t.CloseWrite()
+	}
+	time.AfterFunc(time.Second, func() { _ = c.Close() })
+}
+
 // release is where what a connection holds is given back. The server's lock is held.
 func (c *conn) release() {
 	c.over = true
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -199,9 +199,7 @@
 			continue
 		}
 		c.later(Micros(s.rng.Float64()*0.8*float64(over)), func() {
-			c.note(ledger.SaidMove, 0, "")
-			c.write("MOVE\r\n")
-			c.end(false)
+			c.sendAway()
 		})
 	}
 }
--- a/lab/load/session.go
+++ b/lab/load/session.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"hatchproxy/lab/beat"
 	"hatchproxy/lab/fleet"
 	"hatchproxy/lab/ledger"
 )
@@ -60,13 +61,7 @@
 	c.start = c.book.Now()
 	close(c.begun)
 	for i, a := range arrivals {
-		if wait := c.start + a.At - c.book.Now(); wait > 0 {
-			select {
-			case <-time.After(wait.Span()):
-			case <-ctx.Done():
-				return
-			}
-		} else if ctx.Err() != nil {
+		if !beat.Until(c.book.Time(c.start+a.At), ctx.Done()) || ctx.Err() != nil {
 			return
 		}
 		c.begin(ctx, a, uint64(i), nil)
@@ -146,12 +141,7 @@
 	if until >= s.length {
 		return false
 	}
-	select {
-	case <-time.After((until - s.now()).Span()):
-		return true
-	case <-s.ctx.Done():
-		return false
-	}
+	return beat.Until(s.book.Time(s.start+until), s.ctx.Done())
 }
 
 func (s *session) play() {
@@ -328,6 +318,10 @@
 	}()
 }
 
+// early is how long before a message is due the read is broken off: the runtime's deadlines are late by up to a
+// millisecond.
+const early = 1200
+
 // stand keeps a connection until the client's time is over, or the connection's. It sends a line whenever one is
 // due, whether or not the last was answered.
 func (s *session) stand(conn net.Conn, in *lines, id ledger.ID, until Micros, quick bool) {
@@ -345,7 +339,7 @@
 	next := s.now() + Micros(s.rng.Float64()*float64(s.habits.Every))
 	sent := int64(0)
 	for {
-		_ = conn.SetReadDeadline(s.book.Time(s.start + min(next, until)))
+		_ = conn.SetReadDeadline(s.book.Time(s.start + min(next, until) - early))
 		line, err := in.next()
 		switch {
 		case err == nil && line == "MOVE":
@@ -364,11 +358,13 @@
 			s.tally.Breaks.Add(1)
 			count(s.now())
 			return
-		case s.now() >= until || s.ctx.Err() != nil:
+		case s.now()+early >= until || s.ctx.Err() != nil:
+			beat.Until(s.book.Time(s.start+until), s.ctx.Done()) // or there would be time left to come again
 			s.note(ledger.Left, id, "")
 			count(s.now())
 			return
-		case s.now() >= next:
+		case s.now()+early >= next:
+			beat.Until(s.book.Time(s.start+next), s.ctx.Done())
 			s.tally.LateSend.Add(s.now() - next)
 			count(s.now())
 			sent++
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -47,7 +47,7 @@
 	Verdict Verdict      `json:"verdict"`
 	Why     string       `json:"why,omitempty"`
 	State   string       `json:"state,omitempty"`
-	At      logic.Micros `json:"at"` // Unix time in microseconds at which it was heard
+	At      logic.Micros `json:"at"` // Unix time in microseconds at which it was heard first
 }
 
 const (
@@ -64,7 +64,8 @@
 	state    logic.State
 	launched logic.Micros
 	last     *Order // the newest order on it
-	drained  bool   // by that order
+	heard    logic.Micros
+	drained  bool // by that order
 }
 
 // Desk keeps the orders of an instance beside its list.
@@ -159,7 +160,7 @@
 		case o.Number == last.Number && o.ID != last.ID:
 			return refuse(Refused, "number %d is that of another order, %q", o.Number, last.ID)
 		case o.Number == last.Number:
-			return Answer{Verdict: Repeated, State: Word(p.joined(now)), At: now}, false
+			return Answer{Verdict: Repeated, State: Word(p.joined(now)), At: p.heard}, false
 		}
 	} else if d.held == mostHeld {
 		return refuse(Refused, "%d orders are kept already", mostHeld)
@@ -168,7 +169,7 @@
 	}
 	d.posts[o.At] = p
 	before := p.joined(now)
-	p.last, p.drained = &o, o.Verb == Drain
+	p.last, p.heard, p.drained = &o, now, o.Verb == Drain
 	after := p.joined(now)
 	ans = Answer{Verdict: Obeyed, State: Word(after), At: now}
 	switch {
