Experiments of agents: drain-thirty, agent-killed, rolling-restart

Need: that one order reaches thirty instances, also when agents die halfway, has to be caused under load and judged.

Change: an experiment with control.agents has its proxies kept by hatchagent; troubles order-drain, agent-kill and rolling-restart; the ledger holds sends beside the moment at which each instance heard the order, apart from what its list told; figures order-pQ, orders-unheard, drained-left, restarts-failed. hatchctl names servers that nobody knows.

--- a/agent/instance.go
+++ b/agent/instance.go
@@ -184,6 +184,9 @@
 	if st.Ready && !st.Leaving {
 		i.keeper.Answers(now())
 	}
+	if state, _, _ := i.keeper.State(); state == keeper.Leaving || st.Leaving {
+		return // its last answers are no return
+	}
 	i.agent.roll(func(r roll) { r.Heard(now(), i.Name) })
 }
 
--- a/cmd/hatchctl/main.go
+++ b/cmd/hatchctl/main.go
@@ -19,7 +19,7 @@
 	cannotRun  = 2 // wrong words, or no agent answers
 	noAnswer   = 3 // not all answered in time
 	notAgreed  = 4 // the agents could not agree on the command, or it is not known whether they did
-	usageWords = `Exit codes: 0 all obeyed, 1 one refused or failed, 2 it could not run (wrong words, no agent), 3 not all answered in
+	usageWords = `Exit codes: 0 all obeyed, 1 one refused, failed or knows no such server, 2 it could not run (wrong words, no agent), 3 not all answered in
 time, 4 the agents did not agree on the command, or it is not known whether they did (say it again: it counts once).`
 )
 
--- a/cmd/hatchctl/tool.go
+++ b/cmd/hatchctl/tool.go
@@ -177,6 +177,8 @@
 	switch {
 	case count["refused"]+count["stale"] > 0:
 		return exit{refused, fmt.Sprintf("order %d: %d obeyed, %d refused it", number, count["obeyed"], count["refused"]+count["stale"])}
+	case count["unknown"] > 0:
+		return exit{refused, fmt.Sprintf("order %d: %d instances know no server %q; the order is kept, and counts should it come", number, count["unknown"], cmd.Server)}
 	case !all:
 		return exit{noAnswer, fmt.Sprintf("order %d: %d obeyed, %d have not answered; it is kept, and given to them when they do", number, count["obeyed"], count["no answer"])}
 	}
--- a/cmd/hatchlab/compare.go
+++ b/cmd/hatchlab/compare.go
@@ -39,10 +39,12 @@
 				for turn := range 2 {
 					which := (round + turn) % 2
 					s.proxy = proxies[which]
-					binary, _, err := s.build(c.Context())
+					binary, agent, done, err := s.build(c.Context(), f.Control.Agents > 0)
 					if err != nil {
 						return err
 					}
+					defer done()
+					s.agent = agent
 					r, err := s.play(c.Context(), f, binary, experiment.ByProxies, seed, c.ErrOrStderr())
 					if err != nil {
 						return err
@@ -108,7 +110,7 @@
 		Example: "  hatchlab cost --standing 1,400,5000 --pairs 3\n  hatchlab cost --proxy bin/hatchproxy --json",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			binary, done, err := s.build(c.Context())
+			binary, _, done, err := s.build(c.Context(), false)
 			if err != nil {
 				return err
 			}
--- a/cmd/hatchlab/run.go
+++ b/cmd/hatchlab/run.go
@@ -21,6 +21,7 @@
 // stage is what the commands that play have in common.
 type stage struct {
 	proxy    string
+	agent    string
 	keep     string
 	seeds    []uint
 	quick    bool
@@ -34,6 +35,7 @@
 func (s *stage) flags(c *cobra.Command) {
 	f := c.Flags()
 	f.StringVar(&s.proxy, "proxy", "", "the hatchproxy program; built from ./cmd/hatchproxy if not given")
+	f.StringVar(&s.agent, "agent", "", "the hatchagent program, where the experiment has agents; built if not given")
 	f.StringVar(&s.keep, "keep", "", "a folder in which the proxies' configurations and logs stay")
 	f.UintSliceVar(&s.seeds, "seed", nil, "seeds to play, instead of the file's")
 	f.BoolVar(&s.quick, "quick", false, "the first seed only, at most 40 s of it: ends within 60 s")
@@ -52,10 +54,27 @@
 	}
 }
 
-// build makes the proxy where none is named. done takes it away again.
-func (s *stage) build(ctx context.Context) (binary string, done func(), err error) {
-	if s.proxy != "" {
-		binary, err := filepath.Abs(s.proxy)
+// build makes the proxy where none is named, and the agent where one is needed. done takes them away again.
+func (s *stage) build(ctx context.Context, agents bool) (binary, agent string, done func(), err error) {
+	binary, proxyDone, err := program(ctx, s.proxy, "hatchproxy", "--proxy")
+	if err != nil || !agents {
+		return binary, "", proxyDone, err
+	}
+	agent, agentDone, err := program(ctx, s.agent, "hatchagent", "--agent")
+	if err != nil {
+		proxyDone()
+		return "", "", nil, err
+	}
+	return binary, agent, func() {
+		proxyDone()
+		agentDone()
+	}, nil
+}
+
+// program finds a program or builds it.
+func program(ctx context.Context, named, name, flag string) (binary string, done func(), err error) {
+	if named != "" {
+		binary, err := filepath.Abs(named)
 		if err == nil {
 			_, err = os.Stat(binary)
 		}
@@ -66,11 +85,11 @@
 		return "", nil, err
 	}
 	done = func() { _ = os.RemoveAll(folder) }
-	binary = filepath.Join(folder, "hatchproxy")
-	text, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/hatchproxy").CombinedOutput()
+	binary = filepath.Join(folder, name)
+	text, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/"+name).CombinedOutput()
 	if err != nil {
 		done()
-		return "", nil, fmt.Errorf("hatchproxy cannot be built here; name one with --proxy: %w\n%s", err, text)
+		return "", nil, fmt.Errorf("%s cannot be built here; name one with %s: %w\n%s", name, flag, err, text)
 	}
 	return binary, done, nil
 }
@@ -103,7 +122,7 @@
 	} else if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
 	}
-	return f.Run(ctx, experiment.Order{Seed: seed, Way: way, Binary: binary, Folder: folder, Quick: s.quick, Tell: s.tell(out)})
+	return f.Run(ctx, experiment.Order{Seed: seed, Way: way, Binary: binary, Agent: s.agent, Folder: folder, Quick: s.quick, Tell: s.tell(out)})
 }
 
 func runCommand() *cobra.Command {
@@ -136,9 +155,11 @@
 		}
 	}
 	if slices.Contains(s.ways, string(experiment.ByProxies)) {
-		if binary, done, err = s.build(c.Context()); err != nil {
+		var agent string
+		if binary, agent, done, err = s.build(c.Context(), f.Control.Agents > 0); err != nil {
 			return err
 		}
+		s.agent = agent
 	}
 	defer done()
 	progress := c.ErrOrStderr()
--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -54,6 +54,9 @@
 		Dispatches int
 		Grace      Span
 	}
+	Control struct {
+		Agents int // 0: the proxies are started by the rig itself, without a control surface
+	}
 	Fleet struct {
 		Servers            int
 		Zones              []string
@@ -243,6 +246,7 @@
 		wrong("seeds", "are none")
 	}
 	between("proxies.count", float64(f.Proxies.Count), 1, 64)
+	between("control.agents", float64(f.Control.Agents), 0, 9)
 	between("proxies.sockets", float64(f.Proxies.Sockets), 64, 1<<20)
 	between("fleet.servers", float64(f.Fleet.Servers), 1, 2000)
 	between("fleet.zones", float64(len(f.Fleet.Zones)), 1, 8)
@@ -314,11 +318,17 @@
 		if fleet.OfProxies(t.Kind) {
 			of = f.Proxies.Count
 		}
+		if t.Kind == "agent-kill" {
+			of = f.Control.Agents
+		}
+		if fleet.OfAgents(t.Kind) && f.Control.Agents == 0 {
+			wrong(at+".kind", "%q needs control.agents", t.Kind)
+		}
 		for _, n := range t.Servers {
 			between(at+".servers", float64(n), 0, float64(of-1))
 		}
 		between(at+".part", t.Part, 0, 1)
-		if t.Part == 0 && t.Servers == nil && t.Kind != "store" && !strings.HasPrefix(t.Kind, "list-") {
+		if t.Part == 0 && t.Servers == nil && t.Kind != "store" && t.Kind != "rolling-restart" && !strings.HasPrefix(t.Kind, "list-") {
 			wrong(at, "nobody is in trouble: part or servers is needed")
 		}
 		if slices.Contains([]string{"errors", "resets", "drop"}, t.Kind) {
--- a/lab/experiment/proxies.go
+++ b/lab/experiment/proxies.go
@@ -31,6 +31,8 @@
 	held    io.Closer // its address
 	seed    uint64
 
+	managed string // where its agent writes down which process it is; "" where the rig starts it itself
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{} // closed when the process has
@@ -173,6 +175,10 @@
 func (i *instance) signal(s syscall.Signal) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.managed != "" {
+		pid := i.managedPID()
+		return pid > 1 && syscall.Kill(pid, s) == nil
+	}
 	return i.process != nil && i.process.Process.Signal(s) == nil
 }
 
@@ -198,6 +204,13 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	cpu, rss = i.cpu, i.rss
+	if i.managed != "" {
+		if c, r, err := Usage(i.managedPID()); err == nil {
+			i.rss = max(i.rss, r)
+			return c, i.rss
+		}
+		return cpu, rss
+	}
 	if i.process != nil {
 		c, r, err := Usage(i.process.Process.Pid)
 		if err == nil {
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -87,6 +87,10 @@
 	{"answers-over-limit", "answers that came later than 1 s"},
 	{"breaches", "broken rules"}, {"breach.RULE", "of one kind"},
 	{"sends-after-drain", "the same as breach.drain-kept"}, {"tipped", "cold servers that tipped over"},
+	{"order-pQ", "ms from when an order was given until an instance heard it"},
+	{"orders-unheard", "orders that an instance had not heard within 10 s, of all instances that were not stopped"},
+	{"drained-left", "connections that stood at a server 8 s after the last instance heard that it drains, or at the order's end"},
+	{"restarts-failed", "rolling restarts that did not end well"},
 	{"crashes", "proxies that ended by themselves"},
 	{"proxy-cpu", "cores that the proxies used, on average"}, {"proxy-mb", "memory of the largest proxy, MB"},
 	{"lab-cpu", "cores that this program used, on average"}, {"standing-max", "most connections that stood at once"},
@@ -111,6 +115,7 @@
 	Seed   uint64
 	Way    Way
 	Binary string // of the proxies
+	Agent  string // of the agents, where the experiment has any
 	Folder string // for their files, which stay there
 	Quick  bool
 	Tell   func(format string, a ...any) // progress
@@ -129,6 +134,7 @@
 	book    *ledger.Book
 	fleet   *fleet.Fleet
 	proxies []*instance
+	agents  *agents // nil without
 	clients *load.Clients
 	tally   *load.Tally
 	length  ledger.Micros
@@ -146,7 +152,7 @@
 		r.length = min(r.length, quickest)
 	}
 	var err error
-	if r.steps, err = fleet.Draw(f.script(), f.Fleet.Servers, f.Proxies.Count, o.Seed); err != nil {
+	if r.steps, err = fleet.Draw(f.script(), f.Fleet.Servers, f.Proxies.Count, f.Control.Agents, o.Seed); err != nil {
 		return nil, err
 	}
 	if r.fleet, err = fleet.Start(r.book, f.Plan(), o.Seed); err != nil {
@@ -182,6 +188,9 @@
 		}
 		r.proxies = append(r.proxies, i)
 	}
+	if r.Control.Agents > 0 {
+		return r.startAgents()
+	}
 	faults := make([]error, len(r.proxies))
 	var starting sync.WaitGroup
 	for n, i := range r.proxies {
@@ -198,6 +207,9 @@
 
 func (r *run) stop() {
 	r.busy.Wait()
+	if r.agents != nil {
+		r.agents.stop()
+	}
 	var ending sync.WaitGroup
 	for _, i := range r.proxies {
 		ending.Go(func() {
@@ -398,6 +410,8 @@
 		}
 		var err error
 		switch {
+		case fleet.OfAgents(m.step.Kind):
+			r.toAgents(ctx, m.step, m.ends)
 		case fleet.OfProxies(m.step.Kind):
 			err = r.toProxies(m.step, m.ends)
 		case m.ends:
@@ -531,6 +545,9 @@
 		_, rss := i.used()
 		f["proxy-mb"] = max(f["proxy-mb"], float64(rss)/(1<<20))
 	}
+	if r.agents != nil {
+		r.agents.fill(f)
+	}
 	f["standing-max"], f["carried-lost"] = float64(standing), float64(lost)
 	maps.DeleteFunc(f, func(_ string, x float64) bool { return math.IsNaN(x) }) // a share of nothing was not seen
 }
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"hatchproxy/lab/ledger"
@@ -50,15 +51,22 @@
 	"proxy-kill":   "proxies are killed, and start again when the time is over",
 	"proxy-leave":  "proxies get SIGTERM, and start again when the time is over",
 	"proxy-reload": "proxies get SIGHUP with a configuration that is the same",
+
+	"order-drain":     "the agents are told to have the servers drained, and to undo it when the time is over",
+	"agent-kill":      "agents are killed, and start again when the time is over",
+	"rolling-restart": "all proxies are started anew by their agents, a share SIZE at a time",
 }
 
-// OfProxies tells whether a kind is for who runs the proxies.
-func OfProxies(kind string) bool {
-	return len(kind) > 6 && kind[:6] == "proxy-" || kind == "list-moved"
+// OfProxies tells whether a kind is for who runs the proxies, and its numbers are theirs.
+func OfProxies(kind string) bool { return strings.HasPrefix(kind, "proxy-") || kind == "list-moved" }
+
+// OfAgents tells whether a kind is for who speaks with the agents.
+func OfAgents(kind string) bool {
+	return kind == "order-drain" || kind == "agent-kill" || kind == "rolling-restart"
 }
 
 // Draw draws the servers of a script: the same seed gives the same steps, in the order of time.
-func Draw(script []Trouble, servers, proxies int, seed uint64) ([]Step, error) {
+func Draw(script []Trouble, servers, proxies, agents int, seed uint64) ([]Step, error) {
 	rng := rand.New(rand.NewPCG(seed, 0x7120b1e))
 	steps := make([]Step, 0, len(script))
 	for i, t := range script {
@@ -69,7 +77,10 @@
 		if OfProxies(t.Kind) {
 			of = proxies
 		}
-		if t.Servers == nil && t.Kind != "store" {
+		if t.Kind == "agent-kill" {
+			of = agents
+		}
+		if t.Servers == nil && t.Kind != "store" && t.Kind != "rolling-restart" {
 			t.Servers = choose(rng, of, int(math.Ceil(t.Part*float64(of)-1e-9)))
 		}
 		for _, n := range t.Servers {
--- a/lab/ledger/judge.go
+++ b/lab/ledger/judge.go
@@ -81,6 +81,9 @@
 var Rules = []Rule{OneAnswer, AfterAnswer, LateAnswer, Withheld, TwoOut, EffectTwice, OutOfReach, TooMany, DrainKept,
 	ColdKept, CutOff, EndPassed, Silence, Lines}
 
+// ByOrder is the note of what a proxy was told by an order and not by the list: each stands until its own word ends it.
+const ByOrder = "by order"
+
 // Breach is a broken rule with all that was seen of it, in the order of time.
 type Breach struct {
 	Rule     Rule
@@ -424,8 +427,12 @@
 		return
 	}
 	for _, d := range a.dispatches {
-		var told *Event
+		var list, order, told *Event
 		for _, e := range t.told[[2]int{a.proxy, d.server}] {
+			told = list
+			if e.Note == ByOrder {
+				told = order
+			}
 			switch {
 			case e.At > d.arrived:
 			case e.Value == 0:
@@ -433,6 +440,14 @@
 			case told == nil:
 				told = &e
 			}
+			if e.Note == ByOrder {
+				order = told
+			} else {
+				list = told
+			}
+		}
+		if told = list; told == nil || order != nil && order.At < told.At {
+			told = order
 		}
 		if told != nil && d.arrived > told.At+t.terms.Grace+slack+t.paused(a.proxy, told.At, d.arrived) {
 			t.convict(DrainKept, d.arrived, a.id, append([]Event{*told}, a.events...),
--- a/lab/load/tally.go
+++ b/lab/load/tally.go
@@ -18,7 +18,8 @@
 
 const longestSeen = 120_000_000
 
-func newSeries() *Series { return &Series{h: hdrhistogram.New(1, longestSeen, 3)} }
+// NewSeries makes an empty one.
+func NewSeries() *Series { return &Series{h: hdrhistogram.New(1, longestSeen, 3)} }
 
 // Add counts a latency.
 func (s *Series) Add(took Micros) {
@@ -72,7 +73,7 @@
 // NewTally makes one for a run of a length.
 func NewTally(length Micros) *Tally {
 	n := int(length/ledger.Second) + 1
-	return &Tally{SetUp: newSeries(), Answer: newSeries(), Line: newSeries(), Late: newSeries(), LateSend: newSeries(),
+	return &Tally{SetUp: NewSeries(), Answer: NewSeries(), Line: NewSeries(), Late: NewSeries(), LateSend: NewSeries(),
 		length: length, asked: make([]atomic.Int64, n), served: make([]atomic.Int64, n), arrived: make([]atomic.Int64, n)}
 }
 
