--- a/agent/instance.go
+++ b/agent/instance.go
@@ -123,7 +123,9 @@
 	do, _ := i.keeper.Next(now())
 	switch do {
 	case keeper.Start:
-		i.start()
+		if !i.adopt(ctx) {
+			i.start()
+		}
 	case keeper.Leave:
 		i.agent.roll(func(r roll) { r.Leaves(now(), i.Name) })
 		i.process.signal(syscall.SIGTERM)
@@ -133,6 +135,35 @@
 	}
 }
 
+// adopt takes over a process that an agent before this one has started and not written down any more, since it was
+// killed between the two: it is found by its control surface. Guards against a second process beside it. True also where
+// somebody is there and does not answer.
+func (i *instance) adopt(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, answering)
+	defer cancel()
+	st, err := i.control.Status(ctx)
+	switch {
+	case err == nil && st.PID > 1:
+		p := &process{PID: st.PID}
+		there, start := procStart(st.PID)
+		if !there {
+			return false
+		}
+		p.Start, p.Restart = start, intended(i.path("process"))
+		i.process = p
+		i.keeper.Adopt(now(), p.Restart, st.Ready)
+		i.agent.log.Info("an instance was found by its control surface", "instance", i.Name, "pid", p.PID)
+		if err := p.save(i.path("process")); err != nil {
+			i.agent.log.Error("it cannot be written down which process an instance is", "instance", i.Name, "error", err)
+		}
+		return true
+	case errors.Is(err, context.DeadlineExceeded):
+		i.keeper.Failed(now(), "somebody is at its control address and does not answer")
+		return true
+	}
+	return false
+}
+
 // start starts the process, with the orders that stand in a file that it reads before it takes any work.
 func (i *instance) start() {
 	var held []orders.Order
@@ -144,7 +175,12 @@
 	if err == nil {
 		command := append(append([]string{}, i.Command...), "--control", i.Control, "--orders", i.path("orders"))
 		i.keeper.Began(now())
-		if i.process, err = launch(command, i.path("log"), i.keeper.Restarted()); err == nil {
+		// What it is started for is written down first: whoever finds the process knows it by that.
+		err = (&process{Restart: i.keeper.Restarted()}).save(i.path("process"))
+		if err == nil {
+			i.process, err = launch(command, i.path("log"), i.keeper.Restarted())
+		}
+		if err == nil {
 			err = i.process.save(i.path("process"))
 		}
 	}
--- a/agent/process.go
+++ b/agent/process.go
@@ -105,6 +105,15 @@
 	return err
 }
 
+// intended is the restart for which an instance was last started, or was about to be.
+func intended(path string) uint64 {
+	var p process
+	if text, err := os.ReadFile(path); err == nil {
+		_ = json.Unmarshal(text, &p) // what is torn tells nothing: 0
+	}
+	return p.Restart
+}
+
 // found is the process of an instance that an agent before this one has left running; nil if there is none.
 func found(path string) *process {
 	text, err := os.ReadFile(path)
