Reports: troubles shaded so that the curves show, labels and legend apart

Need: seen on a screenshot, shaded stretches came out black and hid the curves, and labels lay on each other.

Change: a colour that is not premultiplied, labels staggered, room for the legend, no bar for the second after the end.

Result: looked at again with two troubles that overlap: curves, labels and legend can be read.

--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -149,7 +149,7 @@
 var (
 	blue  = color.RGBA{R: 0x1f, G: 0x5f, B: 0xa8, A: 0xff}
 	grey  = color.RGBA{R: 0x90, G: 0x90, B: 0x90, A: 0xff}
-	rose  = color.RGBA{R: 0xe8, G: 0x9a, B: 0x9a, A: 0x60}
+	rose  = color.NRGBA{R: 0xe8, G: 0x70, B: 0x70, A: 0x40}
 	green = color.RGBA{R: 0x1b, G: 0x7f, B: 0x3b, A: 0xff}
 )
 
@@ -163,7 +163,7 @@
 
 // marked shades the times of troubles up to a height.
 func marked(p *plot.Plot, r *experiment.Result, height float64) error {
-	for _, m := range r.Troubles {
+	for n, m := range r.Troubles {
 		to := math.Max(m.To, m.From+r.Length/200)
 		box, err := plotter.NewPolygon(plotter.XYs{{X: m.From, Y: 0}, {X: to, Y: 0}, {X: to, Y: height}, {X: m.From, Y: height}})
 		if err != nil {
@@ -171,7 +171,7 @@
 		}
 		box.Color, box.LineStyle.Width = rose, 0
 		p.Add(box)
-		label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: m.From, Y: height * 0.03}}, Labels: []string{strings.SplitN(m.Text, " ", 2)[0]}})
+		label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: m.From, Y: height * (0.03 + 0.07*float64(n%5))}}, Labels: []string{strings.SplitN(m.Text, " ", 2)[0]}})
 		if err != nil {
 			return err
 		}
@@ -196,10 +196,10 @@
 			served = append(served, plotter.XY{X: float64(i) + 0.5, Y: math.Min(1, x)})
 		}
 	}
-	for i, n := range r.Arrivals {
+	for i, n := range r.Arrivals[:min(len(r.Arrivals), int(r.Length))] {
 		came = append(came, plotter.XY{X: float64(i) + 0.5, Y: n / most})
 	}
-	p.Y.Min, p.Y.Max, p.X.Min, p.X.Max = 0, 1.02, 0, r.Length
+	p.Y.Min, p.Y.Max, p.X.Min, p.X.Max = 0, 1.25, 0, r.Length // room for the legend
 	return p, lines(p, []plotter.XYs{came, served}, []color.Color{grey, blue}, []string{fmt.Sprintf("arrivals, most %.0f a second", most), "served"})
 }
 
