A full disk leaves no half log; hatchctl's exit codes tested; kept folders are one a run

Change: a log that did not exist before is taken away if it cannot be made; a file that may not grow is an error and not the end of the agent; `--keep` has a folder for each run; hatchctl is tested against a stand-in agent.

Result: with no room the agent says so and with room again it starts as if nothing had been; six outcomes of an order have the exit codes that the help tells.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -36,6 +36,7 @@
 	quiet := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
 	switch os.Getenv("HATCH_ROLE") {
 	case "agent":
+		signal.Ignore(syscall.SIGXFSZ)
 		plan, err := agent.ReadPlan(os.Args[1])
 		if err == nil {
 			err = agent.Run(context.Background(), plan, quiet)
@@ -469,6 +470,20 @@
 	require.Equal(t, torn, now)
 }
 
+func TestADiskThatIsFullAtTheStartIsToldAndLeavesNothingHalfMade(t *testing.T) {
+	s := build(t, 1)
+	own, err := os.Executable()
+	require.NoError(t, err)
+	cmd := exec.Command("/bin/sh", "-c", `ulimit -f 8; exec "$0" "$1"`, own, s.plans[0])
+	cmd.Env = append(os.Environ(), "HATCH_ROLE=agent")
+	said, err := cmd.CombinedOutput()
+	require.Error(t, err)
+	require.Contains(t, string(said), "log.db cannot be opened; nothing was changed")
+	require.Contains(t, string(said), "file too large")
+	s.start(0)
+	require.Positive(t, s.say(drain("one", "s1")), "with room again it starts as if nothing had been")
+}
+
 func TestAnAgentsFileThatIsWrongIsToldWithItsPlace(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a.toml")
 	good := "name = \"a\"\nlisten = \"127.0.0.1:7070\"\nlog = \"127.0.0.1:7071\"\ndata = \"x\"\n"
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -49,6 +49,13 @@
 // reached, this one among them.
 func OpenJournal(folder, name string, peers map[string]string) (j *Journal, err error) {
 	at := filepath.Join(folder, "log.db")
+	_, missing := os.Stat(at)
+	// Guards against a file that a full disk has left half made: the next start would find it torn.
+	defer func() {
+		if err != nil && os.IsNotExist(missing) {
+			_ = os.Remove(at)
+		}
+	}()
 	// Guards against half a state: what cannot be read is said, and nothing is touched.
 	defer func() {
 		if p := recover(); p != nil {
--- a/cmd/hatchagent/main.go
+++ b/cmd/hatchagent/main.go
@@ -18,6 +18,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error of the write, as a full disk is
 	if err := command().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "hatchagent:", err)
 		os.Exit(2)
--- /dev/null
+++ b/cmd/hatchctl/main_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/agent"
+	"hatchproxy/agent/keeper"
+	"hatchproxy/agent/wanted"
+	"hatchproxy/orders"
+)
+
+// agentWith answers as an agent would that sees these instances; agreed tells what becomes of commands.
+func agentWith(t *testing.T, agreed int, instances ...agent.InstanceView) (string, *[]wanted.Command) {
+	said := &[]wanted.Command{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/commands" {
+			var c wanted.Command
+			if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+				t.Error(err)
+			}
+			*said = append(*said, c)
+			w.WriteHeader(agreed)
+			if agreed != http.StatusOK {
+				_, _ = w.Write([]byte(`{"error":"no agent leads now"}`))
+				return
+			}
+			_, _ = w.Write([]byte(`{"number":7}`))
+			return
+		}
+		_ = json.NewEncoder(w).Encode(agent.View{Agent: "a1", Leader: "a1", Instances: instances})
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), said
+}
+
+func ctl(args ...string) (string, int) {
+	var out bytes.Buffer
+	c := command()
+	c.SetArgs(append(args, "--within", "300ms"))
+	c.SetOut(&out)
+	c.SetErr(&bytes.Buffer{})
+	err := c.Execute()
+	var e exit
+	switch {
+	case err == nil:
+		return out.String(), allObeyed
+	case errors.As(err, &e):
+		return out.String(), e.code
+	}
+	return out.String(), cannotRun
+}
+
+func heardBy(name string, v orders.Verdict) agent.InstanceView {
+	return agent.InstanceView{Name: name, Agent: "a1", Wanted: true, State: keeper.Ready, Member: "alive",
+		Heard: map[string]agent.Heard{"s1": {Number: 7, Verdict: v, Why: "as it is"}}}
+}
+
+func TestTheExitCodeTellsWhatBecameOfAnOrder(t *testing.T) {
+	good, silent := heardBy("n1", orders.Obeyed), agent.InstanceView{Name: "n2", Wanted: true, State: keeper.Ready, Member: "lost"}
+	stopped := agent.InstanceView{Name: "n3", State: keeper.Stopped}
+	for name, c := range map[string]struct {
+		agreed    int
+		instances []agent.InstanceView
+		code      int
+		says      string
+	}{
+		"all obeyed":              {200, []agent.InstanceView{good, stopped}, allObeyed, `"verdict": "not running"`},
+		"one does not answer":     {200, []agent.InstanceView{good, silent}, noAnswer, `"why": "ready, lost"`},
+		"one refuses":             {200, []agent.InstanceView{good, heardBy("n2", orders.Refused)}, refused, `"verdict": "refused"`},
+		"one knows no such":       {200, []agent.InstanceView{good, heardBy("n2", orders.Unknown)}, refused, `"verdict": "unknown"`},
+		"an old answer is none":   {200, []agent.InstanceView{{Name: "n1", Wanted: true, State: keeper.Ready, Heard: map[string]agent.Heard{"s1": {Number: 6, Verdict: orders.Obeyed}}}}, noAnswer, `"no answer"`},
+		"the agents do not agree": {503, []agent.InstanceView{good}, notAgreed, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			at, said := agentWith(t, c.agreed, c.instances...)
+			out, code := ctl("drain", "s1", "--json", "--agent", at, "--id", "mine")
+			require.Equal(t, c.code, code)
+			require.Contains(t, out, c.says)
+			require.NotEmpty(t, *said)
+			for _, x := range *said {
+				require.Equal(t, "mine", x.ID, "said again under the same id")
+			}
+		})
+	}
+}
+
+func TestTheNextAgentIsAskedWhereOneDoesNotAnswer(t *testing.T) {
+	at, _ := agentWith(t, 200, heardBy("n1", orders.Obeyed))
+	out, code := ctl("drain", "s1", "--agent", "127.0.0.1:1,"+at)
+	require.Equal(t, allObeyed, code)
+	require.Regexp(t, `n1\s+a1\s+obeyed`, out)
+	_, code = ctl("status", "--agent", "127.0.0.1:1")
+	require.Equal(t, cannotRun, code)
+	_, code = ctl("stop", "nobody", "--agent", at)
+	require.Equal(t, cannotRun, code)
+	out, code = ctl("status", "--agent", at)
+	require.Equal(t, allObeyed, code)
+	require.Contains(t, out, "n1")
+	_, code = ctl("restart", "--rolling", "--share", "2", "--agent", at)
+	require.Equal(t, cannotRun, code)
+}
+
+func TestARollingRestartStopsAtTheFirstThatFails(t *testing.T) {
+	loop := agent.InstanceView{Name: "n1", Wanted: true, State: keeper.Looping, Why: "exit status 3"}
+	at, said := agentWith(t, 200, loop, heardBy("n2", orders.Obeyed), heardBy("n3", orders.Obeyed))
+	_, code := ctl("restart", "--rolling", "--share", "0.34", "--agent", at)
+	require.Equal(t, refused, code)
+	require.Len(t, *said, 1)
+	require.Equal(t, []string{"n1"}, (*said)[0].Instances, "a third of three at a time")
+}
--- a/cmd/hatchlab/run.go
+++ b/cmd/hatchlab/run.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -119,8 +120,12 @@
 		}
 		defer os.RemoveAll(made)
 		folder = made
-	} else if err := os.MkdirAll(folder, 0o700); err != nil {
-		return nil, err
+	} else {
+		// A folder for each run: agents would go on from the log of the one before.
+		folder = filepath.Join(folder, fmt.Sprintf("%s-%s-%d-%s", f.Name, way, seed, time.Now().Format("150405")))
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return nil, err
+		}
 	}
 	return f.Run(ctx, experiment.Order{Seed: seed, Way: way, Binary: binary, Agent: s.agent, Folder: folder, Quick: s.quick, Tell: s.tell(out)})
 }
