Limits at the front and the product's own configuration, one pool for now

Need: a tenant or a retry storm crowds others out, and settings can only be told in the platform's JSON, where a person cannot write units and a tool cannot say which line is wrong.

Bare numbers are no times: they counted as microseconds in the rig's files.

Off on the platform: its JSON has no limits.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -3,7 +3,6 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,16 +10,14 @@
 	"net/netip"
 	"os"
 	"regexp"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"hatchproxy/agent/keeper"
 	"hatchproxy/agent/members"
 	"hatchproxy/agent/wanted"
 	"hatchproxy/internal/control"
+	"hatchproxy/internal/tomlfile"
 	"hatchproxy/logic"
 )
 
@@ -53,18 +50,8 @@
 		return nil, err
 	}
 	p := &Plan{}
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(p); err != nil {
-		var missing *toml.StrictMissingError
-		var wrong *toml.DecodeError
-		switch {
-		case errors.As(err, &missing):
-			line, _ := missing.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d: %s is unknown", path, line, strings.Join(missing.Errors[0].Key(), "."))
-		case errors.As(err, &wrong):
-			line, _ := wrong.Position()
-			return nil, fmt.Errorf("%s:%d: %w", path, line, err)
-		}
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := tomlfile.Decode(path, text, p); err != nil {
+		return nil, err
 	}
 	if err := p.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -394,6 +394,41 @@
 	require.Equal(t, "draining", s.state(alone, "s2"), "and what was still stands")
 }
 
+// Guards against an agent that was cut off and comes back with what stood before.
+func TestALeaderThatWasStoppedGivesNoStaleOrdersWhenItGoesOn(t *testing.T) {
+	t.Parallel()
+	s := build(t, 3, sound(3)...)
+	s.start(0, 1, 2)
+	s.eventually("all are ready", ready)
+	s.say(drain("first", "s1"))
+	s.eventually("all have heard", func(i agent.InstanceView) bool { return i.Heard["s1"].Number > 0 })
+	leader := 0
+	_, err := fmt.Sscanf(s.view().Leader, "a%d", &leader)
+	require.NoError(t, err)
+	stopped := s.agents[leader]
+	require.NoError(t, stopped.Process.Signal(syscall.SIGSTOP))
+	s.mu.Lock()
+	s.agents[leader] = nil // nobody asks it
+	s.mu.Unlock()
+	second := s.say(wanted.Command{ID: "second", Verb: wanted.Undrain, Server: "s1"})
+	require.Equal(t, "draining", s.state(leader, "s1"), "the stopped agent's instance goes on with its last orders")
+	require.NoError(t, stopped.Process.Signal(syscall.SIGCONT))
+	s.mu.Lock()
+	s.agents[leader] = stopped
+	s.mu.Unlock()
+	c := agent.Dial(s.listen[leader])
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if number, err := c.Say(ctx, drain("stale", "s2")); err == nil {
+		require.Greater(t, number, second, "it was agreed on by those that know the second")
+	}
+	s.eventually("all have heard the second", func(i agent.InstanceView) bool { return i.Heard["s1"].Number == second })
+	for n := range 3 {
+		require.Equal(t, "ready", s.state(n, "s1"))
+	}
+}
+
 func TestTwoOperatorsAtOnceEndWithOneStateEverywhere(t *testing.T) {
 	t.Parallel()
 	s := build(t, 1, sound(5)...)
--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -3,12 +3,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime"
@@ -16,8 +18,10 @@
 	"syscall"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
 	"github.com/spf13/pflag"
 
+	"hatchproxy/conf"
 	"hatchproxy/internal/control"
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/opening"
@@ -30,7 +34,9 @@
 
   hatchproxy serve [--config FILE] [--log-level LEVEL] [--control ADDRESS] [--orders FILE]
                                                           run one proxy, until SIGTERM
-  hatchproxy config check [--config FILE]                 read the configuration and say what is wrong with it
+  hatchproxy serve --conf FILE ...                        the same, with the product's own configuration (TOML)
+  hatchproxy config check [--config FILE | --conf FILE]   read the configuration and say what is wrong with it
+  hatchproxy config show --conf FILE                      what holds in the end, with what the file leaves out
   hatchproxy version
 
 The configuration is the file that $ROUTER_CONFIG names; $ROUTER_NAME and $ROUTER_LISTEN go before what stands in
@@ -56,7 +62,8 @@
 	flags := pflag.NewFlagSet("hatchproxy", pflag.ContinueOnError)
 	flags.Usage = func() { fmt.Fprint(out, usage) }
 	file := flags.String("config", "", "the configuration, instead of the one that $ROUTER_CONFIG names")
-	level := flags.String("log-level", "info", "debug, info, warn or error")
+	own := flags.String("conf", "", "the product's own configuration, instead of the platform's")
+	level := flags.String("log-level", "", "debug, info, warn or error; info if neither this nor the configuration says")
 	surface := flags.String("control", "", "where operators reach this proxy: unix:PATH or a loopback address; off if empty")
 	held := flags.String("orders", "", "a file of orders that are obeyed from the start")
 	if err := flags.Parse(args); err != nil {
@@ -65,15 +72,21 @@
 	words := flags.Args()
 	switch {
 	case len(words) == 1 && words[0] == "serve":
-		return serve(*file, *level, *surface, *held)
+		return serve(source{*file, *own}, *level, *surface, *held)
 	case len(words) == 2 && words[0] == "config" && words[1] == "check":
-		paper, err := read(*file)
+		paper, _, err := source{*file, *own}.read()
 		if err != nil {
 			return err
 		}
 		listen, list := paper.Addresses()
 		fmt.Fprintf(out, "%s: good; it would listen on %s and ask %s\n", paper.Name(), listen, list)
 		return nil
+	case len(words) == 2 && words[0] == "config" && words[1] == "show":
+		f, err := conf.Read(*own)
+		if err != nil {
+			return err
+		}
+		return toml.NewEncoder(out).Encode(f)
 	case len(words) == 1 && words[0] == "version":
 		fmt.Fprintln(out, version())
 		return nil
@@ -82,11 +95,27 @@
 	return fmt.Errorf("there is no such command: %q", words)
 }
 
-func read(file string) (*opening.Paper, error) {
-	if file != "" {
-		return opening.FromFile(file, os.Getenv)
-	}
-	return opening.FromEnvironment(os.Getenv)
+// source is where the configuration is had: the platform's file, or the product's own.
+type source struct{ platform, own string }
+
+// read reads it; the second is nil for the platform's.
+func (s source) read() (*opening.Paper, *conf.File, error) {
+	switch {
+	case s.own != "" && s.platform != "":
+		return nil, nil, errors.New("--config and --conf: one of them")
+	case s.own != "":
+		f, err := conf.Read(s.own)
+		if err != nil {
+			return nil, nil, err
+		}
+		paper, err := f.Paper(rand.Uint64())
+		return paper, f, err
+	case s.platform != "":
+		paper, err := opening.FromFile(s.platform, os.Getenv)
+		return paper, nil, err
+	}
+	paper, err := opening.FromEnvironment(os.Getenv)
+	return paper, nil, err
 }
 
 func version() string {
@@ -103,21 +132,24 @@
 	return text
 }
 
-func serve(file, level, surface, held string) error {
+func serve(from source, level, surface, held string) error {
 	// Before all else: a signal that is not caught yet ends the program, and SIGHUP must never.
 	leave, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(again, syscall.SIGHUP)
 
+	paper, own, err := from.read()
+	if err != nil {
+		return err
+	}
+	if own != nil {
+		level, surface = cmp.Or(level, own.Log.Level), cmp.Or(surface, own.Control.Listen)
+	}
 	var lowest slog.LevelVar
-	if err := lowest.UnmarshalText([]byte(level)); err != nil {
+	if err := lowest.UnmarshalText([]byte(cmp.Or(level, "info"))); err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &lowest}))
-	paper, err := read(file)
-	if err != nil {
-		return err
-	}
 	b, err := paper.Balancer()
 	if err != nil {
 		return err
@@ -135,7 +167,7 @@
 	products, limits := paper.Products()
 	zones, models := paper.Names()
 	reread := func() (*discovery.Service, error) {
-		paper, err := read(file)
+		paper, _, err := from.read()
 		if err != nil {
 			return nil, err
 		}
@@ -149,6 +181,9 @@
 		return err
 	}
 	p.Introduce(proxy.About{Name: paper.Name(), Version: version(), Config: paper.Sum(), Level: &lowest}, first)
+	if own != nil {
+		p.Limit(own.Limits.Gate(rand.Int64()))
+	}
 	if surface != "" {
 		c, err := control.Open(surface, p, log)
 		if err != nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -47,6 +47,8 @@
 	Term     uint64   `json:"term"` // the highest author's term heard
 	Orders   []Held   `json:"orders"`
 	Servers  []Server `json:"servers"`
+
+	Limits map[string]uint64 `json:"limits,omitempty"` // how many were turned away, by what, since the start
 }
 
 // Held is an order that an instance goes on with.
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -49,7 +49,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	p.sum = fmt.Sprintf("%x", sha256.Sum256(text))[:16]
 	for name, place := range map[string]*string{
 		"ROUTER_NAME": &p.name, "ROUTER_LISTEN": &p.listen,
 	} {
@@ -63,6 +62,15 @@
 	return p, p.check()
 }
 
+// FromText reads one that was made elsewhere, and checks it.
+func FromText(text []byte) (*Paper, error) {
+	p, err := read(text)
+	if err != nil {
+		return nil, err
+	}
+	return p, p.check()
+}
+
 func read(text []byte) (*Paper, error) {
 	var found struct {
 		Name, Listen, Discovery, Seed string
@@ -88,7 +96,7 @@
 	return &Paper{
 		book: book, seed: seed, name: found.Name, listen: found.Listen, discovery: found.Discovery,
 		cores: found.Limits.Cores, memoryMB: found.Limits.MemoryMB, sockets: found.Limits.Sockets,
-		known: found.Known,
+		known: found.Known, sum: fmt.Sprintf("%x", sha256.Sum256(text))[:16],
 	}, nil
 }
 
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -31,6 +31,7 @@
 	Wait    logic.Micros // how long the client waits from when it sent the line; 0 if it does not say
 	Hint    float64      // microseconds of work a second; 0 if none
 	Back    bool         // it comes again after a break or a move
+	Retry   bool         // it has asked before and was not served
 	Stands  string       // the server at which the connection was open before this proxy was; "" otherwise
 	Why     error
 
@@ -148,6 +149,8 @@
 		c.Group = logic.GroupID(number(value))
 	case "at":
 		c.Stands = value
+	case "r":
+		c.Retry = value == "1"
 	case "again":
 		c.Back = value == "1"
 	case "d", "h":
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -5,11 +5,13 @@
 	"container/list"
 	"errors"
 	"io"
+	"net"
 	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"hatchproxy/internal/protocol"
+	"hatchproxy/limits"
 	"hatchproxy/logic"
 )
 
@@ -24,6 +26,7 @@
 	over   bool       // it has its final answer, or is gone
 	queue  *list.List // the proxy's silent or done, while it stands in one of them
 	place  *list.Element
+	gated  bool           // the gate has let it in, and is to be told when it leaves
 	sent   []logic.Micros // when the messages came that have not been answered
 }
 
@@ -147,6 +150,10 @@
 		p.refuse(c)
 		return
 	}
+	if why, wait := p.pass(now, c); why != limits.None {
+		p.answer(c, protocol.Refusal(wait))
+		return
+	}
 	most := p.limits[product]
 	if c.talk.Stands != "" {
 		most = longestRestore
@@ -167,6 +174,32 @@
 	p.in.Arrived(now, c.at)
 }
 
+// pass asks the gate whether an attachment is let in. Connections that stood before this proxy did always are.
+func (p *Proxy) pass(now logic.Micros, c *client) (limits.Why, logic.Micros) {
+	if p.gate == nil || c.talk.Stands != "" {
+		return limits.None, 0
+	}
+	why, wait := p.gate.Ask(now, c.tenant(), address(c.conn.RemoteAddr()), c.talk.Retry)
+	c.gated = why == limits.None
+	return why, wait
+}
+
+// tenant is whom a client's connections are counted for: its group, or itself.
+func (c *client) tenant() uint64 {
+	if c.talk.Group != 0 {
+		return uint64(c.talk.Group)
+	}
+	return uint64(c.talk.Key)
+}
+
+// address is a number for where a client comes from, its port apart.
+func address(a net.Addr) uint64 {
+	if at, tcp := a.(*net.TCPAddr); tcp {
+		return protocol.Number(string(at.IP))
+	}
+	return 0
+}
+
 // answer gives a client its final line and closes.
 func (p *Proxy) answer(c *client, line []byte) {
 	if c.over {
@@ -189,6 +222,10 @@
 func (p *Proxy) release(c *client) {
 	c.over = true
 	c.talk.Drop()
+	if c.gated {
+		c.gated = false
+		p.gate.Leave(c.tenant())
+	}
 	if c.id != 0 {
 		delete(p.clients, c.id)
 		delete(p.ids, c.talk.ID)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/host"
 	"hatchproxy/internal/protocol"
+	"hatchproxy/limits"
 	"hatchproxy/logic"
 	"hatchproxy/orders"
 )
@@ -55,6 +56,8 @@
 	why      error           // of the last one
 	lastID   logic.AttachmentID
 	servers  map[logic.ServerID]*server
+	gate     *limits.Gate // nil: everybody is let in
+	told     uint64       // how many it had turned away when that was logged
 	desk     *orders.Desk
 	about    About
 	reread   func() (*discovery.Service, error)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -53,6 +53,11 @@
 
 // play starts a proxy before servers that answer so; each is named by its place.
 func play(t *testing.T, sockets int64, answers ...string) (*stage, []*fleet.Puppet) {
+	return playWith(t, sockets, func(*proxy.Proxy) {}, answers...)
+}
+
+// playWith has more done to the proxy before it runs.
+func playWith(t *testing.T, sockets int64, more func(*proxy.Proxy), answers ...string) (*stage, []*fleet.Puppet) {
 	t.Parallel()
 	list, err := fleet.ByHand()
 	require.NoError(t, err)
@@ -75,6 +80,7 @@
 		250*logic.Millisecond, 50*logic.Millisecond, sockets)
 	s.proxy = p
 	p.Introduce(proxy.About{Name: "n0", Level: new(slog.LevelVar)}, nil)
+	more(p)
 	go func() { s.ended <- p.Run(s.leave, nil, nil) }()
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", s.listen)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -105,6 +105,7 @@
 	p.after(second, p.pulse)
 	now := p.now()
 	p.expire(now)
+	p.tellTurnedAway()
 	if p.refused > 0 {
 		p.log.Info("clients' bytes were refused", "count", p.refused, "last", p.why)
 		p.refused = 0
--- a/internal/proxy/surface.go
+++ b/internal/proxy/surface.go
@@ -8,6 +8,7 @@
 
 	"hatchproxy/internal/control"
 	"hatchproxy/internal/discovery"
+	"hatchproxy/limits"
 	"hatchproxy/logic"
 	"hatchproxy/orders"
 )
@@ -28,6 +29,24 @@
 	}
 }
 
+// Limit has a gate decide whom the proxy lets in. It is to be called before Run.
+func (p *Proxy) Limit(g *limits.Gate) { p.gate = g }
+
+// tellTurnedAway logs, once a second at most, how many the gate has turned away.
+func (p *Proxy) tellTurnedAway() {
+	if p.gate == nil {
+		return
+	}
+	sum := uint64(0)
+	for _, n := range p.gate.Refused() {
+		sum += n
+	}
+	if sum > p.told {
+		p.log.Info("turned away by limits", "count", sum-p.told, "since_start", p.gate.Refused())
+		p.told = sum
+	}
+}
+
 var errGone = errors.New("the proxy has left")
 
 // asked has the loop run a call and returns its result. A call whose asker has given up waiting runs all the same.
@@ -136,6 +155,12 @@
 	if p.listAt > 0 {
 		st.ListAge = int64(now - p.listAt)
 	}
+	if p.gate != nil {
+		st.Limits = map[string]uint64{}
+		for why, n := range p.gate.Refused() {
+			st.Limits[string(why)] = n
+		}
+	}
 	for _, o := range p.desk.Held() {
 		state, _ := p.desk.State(now, o.At)
 		st.Orders = append(st.Orders, control.Held{Order: o, State: orders.Word(state)})
--- a/internal/proxy/surface_test.go
+++ b/internal/proxy/surface_test.go
@@ -17,6 +17,9 @@
 	"github.com/stretchr/testify/require"
 
 	"hatchproxy/internal/control"
+	"hatchproxy/internal/proxy"
+	"hatchproxy/limits"
+	"hatchproxy/logic"
 	"hatchproxy/orders"
 )
 
@@ -179,3 +182,28 @@
 	require.NoError(t, err, "what one left that was killed is taken over")
 	c.Close()
 }
+
+func TestWhoIsTurnedAwayByALimitIsToldWhenToComeAndNothingIsSentOnForIt(t *testing.T) {
+	s, servers := playWith(t, 1024, func(p *proxy.Proxy) {
+		p.Limit((&limits.Gate{SetUps: limits.Rate{PerSecond: 0.5, Burst: 2}, Standing: 2, LongestWait: 9 * logic.Second}).Open(1))
+	}, "UP a")
+	a, b := s.open("c=chat,d=1500"), s.open("c=chat,d=1500")
+	a.hears("UP a")
+	b.hears("UP a")
+	for range 5 {
+		c := s.open("c=chat,d=1500")
+		line, err := c.in.ReadString('\n')
+		require.NoError(t, err)
+		require.Regexp(t, `^BUSY [1-9]\d{2,3}\r\n$`, line, "when there is room again")
+	}
+	require.Len(t, servers[0].Lines(), 2)
+	st, err := s.proxy.Status(context.Background())
+	require.NoError(t, err)
+	require.EqualValues(t, 5, st.Limits["set-ups"])
+	require.NoError(t, a.Close())
+	require.Eventually(t, func() bool {
+		c := s.open("c=chat,d=1500")
+		line, _ := c.in.ReadString('\n')
+		return line == "UP a\r\n"
+	}, 9*time.Second, 50*time.Millisecond, "one that leaves makes room")
+}
--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -3,7 +3,6 @@
 package experiment
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -16,16 +15,15 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
+	"hatchproxy/internal/tomlfile"
 	"hatchproxy/lab/fleet"
 	"hatchproxy/lab/ledger"
 	"hatchproxy/lab/load"
 )
 
-// Span is a time in a file, with its unit: "1.5s", "300ms".
-type Span ledger.Micros
+// Span is a time in a file, with its unit: "1.5s", "300ms". It is a struct so that a bare number, of whatever unit, is
+// no time.
+type Span struct{ Micros ledger.Micros }
 
 // UnmarshalText reads one.
 func (s *Span) UnmarshalText(text []byte) error {
@@ -33,11 +31,11 @@
 	if err != nil || d < 0 {
 		return fmt.Errorf("%q is no time such as \"1.5s\" or \"300ms\"", text)
 	}
-	*s = Span(d.Microseconds())
+	s.Micros = ledger.Of(d)
 	return nil
 }
 
-func (s Span) micros() ledger.Micros { return ledger.Micros(s) }
+func (s Span) micros() ledger.Micros { return s.Micros }
 
 // File is an experiment as it is written down. docs/lab.md tells each name.
 type File struct {
@@ -113,8 +111,8 @@
 	}
 	Expect map[string]string
 
-	lines map[string]int
-	trace []load.Arrival
+	places tomlfile.Places
+	trace  []load.Arrival
 }
 
 // Read reads a file and checks it; the error names the place and the cause of each fault.
@@ -130,11 +128,10 @@
 func Parse(path string, text []byte) (*File, error) {
 	f := &File{Path: path}
 	f.standard()
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(f); err != nil {
-		return nil, placed(path, err)
+	if err := tomlfile.Decode(path, text, f); err != nil {
+		return nil, err
 	}
-	f.lines = places(text)
+	f.places = tomlfile.Find(path, text)
 	if faults := f.check(); len(faults) > 0 {
 		return nil, errors.Join(faults...)
 	}
@@ -143,84 +140,18 @@
 
 // standard is what holds where a file says nothing: the deployment of the first operators.
 func (f *File) standard() {
-	f.Length, f.Seeds = Span(20*ledger.Second), []uint64{1}
+	f.Length, f.Seeds = Span{20 * ledger.Second}, []uint64{1}
 	p := &f.Proxies
-	p.Count, p.MemoryMB, p.Sockets, p.Dispatches, p.Grace = 2, 192, 16384, 6, Span(2*ledger.Second)
+	p.Count, p.MemoryMB, p.Sockets, p.Dispatches, p.Grace = 2, 192, 16384, 6, Span{2 * ledger.Second}
 	fl := &f.Fleet
 	fl.Servers, fl.Zones = 8, []string{"a"}
-	fl.SetUp, fl.Probe, fl.Load, fl.Message = Span(8*ledger.Millisecond), 200, Span(60*ledger.Millisecond), Span(2*ledger.Millisecond)
-	fl.Notice, fl.Weights = Span(500*ledger.Millisecond), "nominal"
+	fl.SetUp, fl.Probe, fl.Load, fl.Message = Span{8 * ledger.Millisecond}, Span{200}, Span{60 * ledger.Millisecond}, Span{2 * ledger.Millisecond}
+	fl.Notice, fl.Weights = Span{500 * ledger.Millisecond}, "nominal"
 	fl.TellsLoad, fl.Probes = true, true
-	fl.Cold.From, fl.Cold.Multiple, fl.Cold.Warm, fl.Cold.Window = 0.3, 4, Span(9*ledger.Second), Span(3*ledger.Second)
+	fl.Cold.From, fl.Cold.Multiple, fl.Cold.Warm, fl.Cold.Window = 0.3, 4, Span{9 * ledger.Second}, Span{3 * ledger.Second}
 	l := &f.Load
 	l.Heed, l.Skew, l.Retries, l.Zipf = 1, 0.5, 3, 1.1
-	l.Wait, l.Rejoin, l.Every = Span(60*ledger.Millisecond), Span(1600*ledger.Millisecond), Span(2*ledger.Second)
-}
-
-// placed turns what the library says into file:line and cause.
-func placed(path string, err error) error {
-	var missing *toml.StrictMissingError
-	if errors.As(err, &missing) {
-		var faults []error
-		for _, e := range missing.Errors {
-			line, _ := e.Position()
-			faults = append(faults, fmt.Errorf("%s:%d: %s is unknown", path, line, strings.Join(e.Key(), ".")))
-		}
-		return errors.Join(faults...)
-	}
-	var wrong *toml.DecodeError
-	if errors.As(err, &wrong) {
-		line, _ := wrong.Position()
-		return fmt.Errorf("%s:%d: %s", path, line, strings.TrimPrefix(wrong.Error(), "toml: "))
-	}
-	return fmt.Errorf("%s: %w", path, err)
-}
-
-// places finds the line of each key; tables of an array have their number in brackets.
-func places(text []byte) map[string]int {
-	lines, counts, table := map[string]int{}, map[string]int{}, ""
-	p := unstable.Parser{}
-	p.Reset(text)
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			n := it.Node()
-			parts = append(parts, string(n.Data))
-			if line == 0 {
-				line = p.Shape(n.Raw).Start.Line
-			}
-		}
-		name := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			table = name
-		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s[%d]", name, counts[name])
-			counts[name]++
-		default:
-			if table != "" {
-				name = table + "." + name
-			}
-			lines[name] = line
-			continue
-		}
-		lines[table] = line
-	}
-	return lines
-}
-
-// at is where a key stands, or the nearest table above it.
-func (f *File) at(key string) string {
-	for name := key; name != ""; {
-		if line, known := f.lines[name]; known {
-			return fmt.Sprintf("%s:%d", f.Path, line)
-		}
-		cut := strings.LastIndexByte(name, '.')
-		name = name[:max(cut, 0)]
-	}
-	return f.Path
+	l.Wait, l.Rejoin, l.Every = Span{60 * ledger.Millisecond}, Span{1600 * ledger.Millisecond}, Span{2 * ledger.Second}
 }
 
 var (
@@ -231,7 +162,7 @@
 // check finds all that is wrong.
 func (f *File) check() (faults []error) {
 	wrong := func(key, format string, a ...any) {
-		faults = append(faults, fmt.Errorf("%s: %s: %s", f.at(key), key, fmt.Sprintf(format, a...)))
+		faults = append(faults, fmt.Errorf("%s: %s: %s", f.places.At(key), key, fmt.Sprintf(format, a...)))
 	}
 	between := func(key string, x, least, most float64) {
 		if !(x >= least && x <= most) {
@@ -287,19 +218,19 @@
 			wrong(at+".reach", "%q is none of all, zone, group", p.Reach)
 		}
 		between(at+".limit", p.Limit.micros().Span().Seconds(), 0.01, 600)
-		if p.Quoted <= 0 || p.Quoted > p.Limit {
+		if p.Quoted.Micros <= 0 || p.Quoted.Micros > p.Limit.Micros {
 			wrong(at+".quoted", "is not between 0 and the limit")
 		}
 		if p.Share <= 0 {
 			wrong(at+".share", "is not above 0")
 		}
-		if p.Life <= 0 {
+		if p.Life.Micros <= 0 {
 			wrong(at+".life", "is not above 0")
 		}
 	}
 	for i := range f.Load.Bend {
 		at := fmt.Sprintf("load.bend[%d]", i)
-		if i > 0 && f.Load.Bend[i].At < f.Load.Bend[i-1].At {
+		if i > 0 && f.Load.Bend[i].At.Micros < f.Load.Bend[i-1].At.Micros {
 			wrong(at+".at", "comes before the one above")
 		}
 		between(at+".rate", f.Load.Bend[i].Rate, 0, 100_000)
--- a/lab/experiment/proxies.go
+++ b/lab/experiment/proxies.go
@@ -48,7 +48,7 @@
 	type table = map[string]any
 	var products []table
 	var messages []float64
-	ms := func(s Span) float64 { return float64(s) / 1000 }
+	ms := func(s Span) float64 { return float64(s.Micros) / 1000 }
 	words := map[ledger.Repeat]string{ledger.Harmless: "repeatable", ledger.Stamped: "by_key", ledger.OneShot: "once"}
 	reach := map[ledger.Reach]string{ledger.ReachAll: "all", ledger.ReachZone: "zone", ledger.ReachCell: "cell"}
 	loads := f.products()
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -590,9 +590,9 @@
 		l, _ := readLimit(r.Expect[name]) // it was checked when the file was read
 		x, known := result.Figures[name]
 		if !known {
-			result.Shortfalls = append(result.Shortfalls, fmt.Sprintf("%s: %s was not seen, wanted %s", r.at("expect."+name), name, r.Expect[name]))
+			result.Shortfalls = append(result.Shortfalls, fmt.Sprintf("%s: %s was not seen, wanted %s", r.places.At("expect."+name), name, r.Expect[name]))
 		} else if !l.holds(x) {
-			result.Shortfalls = append(result.Shortfalls, fmt.Sprintf("%s: %s is %.4g, wanted %s", r.at("expect."+name), name, x, r.Expect[name]))
+			result.Shortfalls = append(result.Shortfalls, fmt.Sprintf("%s: %s is %.4g, wanted %s", r.places.At("expect."+name), name, x, r.Expect[name]))
 		}
 	}
 }
