--- a/lab/beat/beat.go
+++ b/lab/beat/beat.go
@@ -85,9 +85,16 @@
 	runtime.LockOSThread()
 	for {
 		mu.Lock()
-		now := time.Now()
+		now, ran := time.Now(), false
 		for len(waiting) > 0 && !waiting[0].at.After(now) {
 			go heap.Pop(&waiting).(*Timer).call()
+			ran = true
+		}
+		if ran {
+			// They stand in this thread's own queue, and would wait there until another one looks for work.
+			mu.Unlock()
+			runtime.Gosched()
+			continue
 		}
 		if len(waiting) == 0 {
 			awake = false
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hatchproxy/lab/fleet"
@@ -128,6 +129,8 @@
 			Kinds: []fleet.Kind{{Name: "m", Share: 1, Cores: 1, Speed: 1}}}, 1)
 		require.NoError(t, err)
 		require.NoError(t, f.Begin(fleet.Step{Trouble: fleet.Trouble{Kind: "store", Size: float64(delay / ms)}}))
+		// Once before, so that the runtime's threads are there: the first connections pay for them.
+		play(t, f.Addresses(0)[0], 100, second, load.Habits{Zones: 1, Every: second / 4})
 		tally := play(t, f.Addresses(0)[0], 100, length, load.Habits{Zones: 1, Every: second / 4})
 		f.Stop()
 		for _, q := range quantiles {
@@ -136,7 +139,7 @@
 				if os.Getenv("HATCHLAB_LONG") != "" {
 					t.Logf("delay %s, %s p%g: %s", delay, name, 100*q, s.At(q))
 				}
-				require.InEpsilon(t, float64(delay), float64(s.At(q)), within, "%s p%g of %s", name, 100*q, delay)
+				assert.InEpsilon(t, float64(delay), float64(s.At(q)), within, "%s p%g of %s", name, 100*q, delay)
 			}
 		}
 	}
