Tests that stop a process wait until each of its threads stands

Need: the clean checkout's run failed once: a leader that was sent SIGSTOP still agreed on the next order, since a signal takes its time to reach all threads, and the test took that for a stale order.

Change: the three tests that stop an agent or an instance wait for the state that the kernel tells of every thread.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -304,6 +304,15 @@
 	return "no order"
 }
 
+// allStopped tells whether each thread of a process stands still: a signal takes its time to reach them all.
+func allStopped(pid int) bool {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	return err == nil && len(tasks) > 0 && !slices.ContainsFunc(tasks, func(path string) bool {
+		text, err := os.ReadFile(path)
+		return err != nil || !strings.Contains(string(text), ") T ")
+	})
+}
+
 func sound(n int) []string { return slices.Repeat([]string{"sound"}, n) }
 
 func TestAnAgentThatIsKilledLeavesItsInstancesAndTheNextOneFindsThemAndKeepsTheOrders(t *testing.T) {
@@ -313,6 +322,7 @@
 	s.eventually("all are ready", ready)
 	before := s.pid(2)
 	require.NoError(t, syscall.Kill(s.pid(3), syscall.SIGSTOP)) // it has not heard when the agent dies
+	require.Eventually(t, func() bool { return allStopped(s.pid(3)) }, 5*time.Second, time.Millisecond)
 	number := s.say(drain("one", "s1"))
 	s.kill(0)
 	s.start(0)
@@ -338,6 +348,7 @@
 	s.start(0)
 	s.eventually("all are ready", ready)
 	require.NoError(t, syscall.Kill(s.pid(1), syscall.SIGSTOP))
+	require.Eventually(t, func() bool { return allStopped(s.pid(1)) }, 5*time.Second, time.Millisecond)
 	number := s.say(drain("one", "s2"))
 	require.Eventually(t, func() bool {
 		v := s.view()
@@ -407,6 +418,7 @@
 	require.NoError(t, err)
 	stopped := s.agents[leader]
 	require.NoError(t, stopped.Process.Signal(syscall.SIGSTOP))
+	require.Eventually(t, func() bool { return allStopped(stopped.Process.Pid) }, 5*time.Second, time.Millisecond)
 	s.mu.Lock()
 	s.agents[leader] = nil // nobody asks it
 	s.mu.Unlock()
