Tests listen where no connection goes out from

Need: in one of three runs under -race an agent never came up: its port had been free a moment before, and a connection that some other test opened had taken it.

Change: agents' and proxies' addresses in tests are others than the one that connections go out from.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -133,8 +134,12 @@
 	agents []*exec.Cmd // nil for one that does not run
 }
 
+var addresses atomic.Int64
+
+// free is an address on which nobody listens. It is none of those that connections go out from, which would take it
+// before it is used, and no other's.
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.3.%d.%d:0", os.Getpid()%250, 1+addresses.Add(1)%250))
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -68,7 +68,7 @@
 		list.Set(fmt.Sprint("s", i), s.Address, "ready")
 		servers = append(servers, s)
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := net.Listen("tcp", "127.4.0.1:0") // where no connection goes out from, which could take it meanwhile
 	require.NoError(t, err)
 	s := &stage{t, free.Addr().String(), list, make(chan os.Signal, 1), make(chan error, 1), nil}
 	require.NoError(t, free.Close())
