One call for all that speak JSON as the control surface does

Need: the agent's client and the instance's were the same thirty lines twice.

Change: control.Call serves both; an answer may have what an agent tells of hundreds of instances.

--- a/agent/surface.go
+++ b/agent/surface.go
@@ -16,15 +16,15 @@
 	"time"
 
 	"hatchproxy/agent/wanted"
+	"hatchproxy/internal/control"
 )
 
 // Version is the protocol's between tool and agents, and between agents.
 const Version = 1
 
 const (
-	mostBody   = 256 << 10
-	mostAnswer = 64 << 20
-	slowest    = 10 * time.Second
+	mostBody = 256 << 10
+	slowest  = 10 * time.Second
 	// fanning is how long other agents may take to tell what they know.
 	fanning = 1500 * time.Millisecond
 )
@@ -199,35 +199,7 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
-	var in io.Reader
-	if body != nil {
-		text, err := json.Marshal(body)
-		if err != nil {
-			return err
-		}
-		in = bytes.NewReader(text)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("%s/v%d/%s", c.base, Version, path), in)
-	if err != nil {
-		return err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		var said struct{ Error string }
-		if json.Unmarshal(text, &said) != nil || said.Error == "" {
-			said.Error = resp.Status
-		}
-		return errors.New(said.Error)
-	}
-	return json.Unmarshal(text, into)
+	return control.Call(ctx, c.http, method, fmt.Sprintf("%s/v%d/%s", c.base, Version, path), body, into)
 }
 
 // Ping asks whether the agent is there.
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -36,10 +36,16 @@
 // Close gives its idle connections back.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// mostAnswer bounds what is read of an answer: a status with thousands of servers.
-const mostAnswer = 8 << 20
+// mostAnswer bounds what is read of an answer: what an agent tells of hundreds of instances with their servers.
+const mostAnswer = 64 << 20
 
 func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
+	return Call(ctx, c.http, method, fmt.Sprintf("%s/v%d/%s", c.base, Version, path), body, into)
+}
+
+// Call asks something of whoever speaks JSON as the control surface does, and reads the answer. One that says no is a
+// Refusal.
+func Call(ctx context.Context, client *http.Client, method, url string, body, into any) error {
 	var in io.Reader
 	if body != nil {
 		text, err := json.Marshal(body)
@@ -48,11 +54,11 @@
 		}
 		in = bytes.NewReader(text)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("%s/v%d/%s", c.base, Version, path), in)
+	req, err := http.NewRequestWithContext(ctx, method, url, in)
 	if err != nil {
 		return err
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
