Delays that servers tell are told apart from loads

They were read as loads: a client of 586,776 counted as one of 269, its server as empty, and no proxy heard that messages there took half a second. Probes answered in 0.8 ms at a server whose messages took 666 ms, so they could not tell.

Ruled out: CPU (0.01 s in the worst second), the list (28 of 80 first calls turned away, each asked again; nothing changed in the list until 14 s), lines held by the proxy (0.2 ms).

At fault: Paper.Balancer, which took it that no line of the protocol tells delays, and passDown, which took each figure for a load.

Change: internal/notes tells them apart by their rhythm (once a second on one connection), by a fall to a quarter of the last load where few connections stand, and takes a wrong guess back.

Did not help: believing each small figure at once. Among more than three connections the second is believed.

--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -181,6 +181,9 @@
 		return err
 	}
 	p.Introduce(proxy.About{Name: paper.Name(), Version: version(), Config: paper.Sum(), Level: &lowest}, first)
+	if paper.TellsDelay() {
+		p.HearDelays()
+	}
 	if own != nil {
 		p.Limit(own.Limits.Gate(rand.Int64()))
 	}
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -150,10 +150,12 @@
 // where the simulator brings changes unasked, nothing would come, and drains would be missed.
 func (p *Paper) Balancer() (*logic.Balancer, error) {
 	p.book["membership-mode"] = "subscribe"
-	p.book["family-info.tells-delay"] = "false" // no line of the protocol does
 	return p.book.Balancer(p.seed)
 }
 
+// TellsDelay says whether servers tell how long their messages take.
+func (p *Paper) TellsDelay() bool { return p.book["family-info.tells-delay"] == "true" }
+
 // Names are the zones and models in the order of their numbers.
 func (p *Paper) Names() (zones, models []string) {
 	return p.book.row("localities"), p.book.row("models")
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/limits"
 	"hatchproxy/logic"
@@ -28,6 +29,8 @@
 	place  *list.Element
 	gated  bool           // the gate has let it in, and is to be told when it leaves
 	sent   []logic.Micros // when the messages came that have not been answered
+
+	figures notes.Conn
 }
 
 const (
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"hatchproxy/internal/discovery"
+	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/logic"
 )
@@ -25,6 +26,7 @@
 	standing int
 	took     []answered
 	late     bool // its messages were told to be late
+	figures  notes.Server
 	probe    *probe
 }
 
@@ -139,7 +141,7 @@
 // stood passes the server's word on: the connection stands.
 func (p *Proxy) stood(d *dispatch, pass []byte) {
 	c, now := d.client, p.now()
-	c.stands = true
+	c.stands, c.figures.Since = true, now
 	p.log.Debug("up", "server", d.server.endpoint, "took_us", int64(now-d.began))
 	d.hang()
 	d.server.standing++
@@ -199,6 +201,7 @@
 	d := c.out
 	d.over = true
 	d.server.standing--
+	d.server.figures.Left(&c.figures)
 	d.talk.Drop()
 	p.release(c)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/host"
+	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/limits"
 	"hatchproxy/logic"
@@ -46,6 +47,7 @@
 	models   map[string]logic.ModelID
 	dialing  logic.Micros
 	late     logic.Micros // what a message takes at a server that is told to be late
+	delays   bool         // servers tell delays beside loads
 	most     int          // sockets
 
 	clients  map[logic.AttachmentID]*client
@@ -115,6 +117,9 @@
 	return p
 }
 
+// HearDelays says, before it runs, that servers tell how long messages take, in the form in which they tell loads.
+func (p *Proxy) HearDelays() { p.delays = true }
+
 // ownSockets are descriptors that are neither a client's nor a server's: the listener, two pollers, the calls for
 // the list (of two services for a moment), the configuration, the standard streams; and what dials that were broken
 // off, or have just been handed over, hold a moment longer than they are counted.
@@ -276,7 +281,7 @@
 	id := discovery.ID(uid)
 	s := l.servers[id]
 	if s == nil {
-		s = &server{id: id}
+		s = &server{id: id, figures: notes.New(l.late)}
 		l.servers[id] = s
 	}
 	if endpoint != "" {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -417,3 +417,28 @@
 	require.Eventually(t, func() bool { return servers[0].Probes() > probes+1 }, 6*time.Second, 20*time.Millisecond)
 	require.Equal(t, 6, servers[0].Conns(), "one that breaks is opened again")
 }
+
+// Guards against figures of late messages that are read as loads: nothing else tells of a slow server, since it answers
+// its clients' lines at once.
+func TestClientsMoveOffAServerThatTellsOfLateMessages(t *testing.T) {
+	s, servers := playWith(t, 1024, (*proxy.Proxy).HearDelays, "UP a", "UP b")
+	c := s.open("c=chat,d=1500")
+	defer c.Close()
+	line, err := c.in.ReadString('\n')
+	require.NoError(t, err)
+	at := servers[int(line[3]-'a')].Last()
+	go func() {
+		_, _ = io.WriteString(at, "LOAD 90000\r\n")
+		for range 12 {
+			time.Sleep(time.Second) // what the test is about comes once a second
+			if _, err := io.WriteString(at, "LOAD 400\r\n"); err != nil {
+				return
+			}
+		}
+	}()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(12*time.Second)))
+	for line != "MOVE\r\n" {
+		line, err = c.in.ReadString('\n')
+		require.NoError(t, err)
+	}
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"slices"
 
+	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/logic"
 )
@@ -43,7 +44,7 @@
 	c, now := d.client, p.now()
 	switch ev {
 	case protocol.LoadTold:
-		p.in.LoadChanged(now, c.id, d.talk.Load)
+		p.figure(now, d, d.talk.Load)
 	case protocol.SentAway:
 		d.ending = logic.Cancelled
 	case protocol.ServedOut:
@@ -57,6 +58,34 @@
 	p.passOn(c, pass)
 }
 
+// figure tells the decisions what a server's figure says. Guards against a delay that is taken for a load: where both
+// are told they look alike, and the heaviest clients of a late server would count as its lightest.
+func (p *Proxy) figure(now logic.Micros, d *dispatch, x float64) {
+	c, s := d.client, d.server
+	if !p.delays {
+		p.in.LoadChanged(now, c.id, x)
+		return
+	}
+	switch s.figures.Hear(now, &c.figures, s.standing, x) {
+	case notes.Load:
+		p.in.LoadChanged(now, c.id, x)
+	case notes.Both:
+		p.in.LoadChanged(now, c.id, c.figures.Load)
+		p.messagesTake(now, s, x)
+	case notes.Delay:
+		p.messagesTake(now, s, x)
+		p.after(notes.Settles, func() {
+			if s.figures.Settled(p.now(), &c.figures, now, x) && !c.over {
+				p.in.LoadChanged(p.now(), c.id, x)
+			}
+		})
+	}
+}
+
+func (p *Proxy) messagesTake(now logic.Micros, s *server, ms float64) {
+	p.in.Delay(now, s.id, logic.Micros(ms*float64(millisecond)))
+}
+
 func (p *Proxy) passOn(c *client, b []byte) {
 	_, _ = c.conn.Write(b) // a failure comes as the end of the connection
 	if !c.over && c.conn.OutboundBuffered() > mostUnsent {
