A new server's draw comes again each window, and its budget is what warm ones bear

Ruled out: the list (told within 2.1 s of the start of each), the starting count (wears off, and is the others' mean), the rule itself: with the factor at 20, 38 connections in three seconds on one cold server tipped nothing on sockets.

At fault: warmEnough. Below one connection a drawn chance tells which proxy may send. It was drawn once, and again only after a send, so that who lost at first stayed out until the server was warm: of twenty proxies one in the first window, none in the next two. And the budget was half of what each server had been sent lately, which says nothing of what it bears.

Change: the chance is drawn anew each window; a warm server is taken to bear four times what each was sent lately.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -86,6 +86,7 @@
 	probeAt, quick, probed Micros  // its next probe; its quickest and its last answer to one
 	recent                 []sent  // sends while cold
 	chance                 float64 // settles fractions of a connection in the cold budget
+	drawn                  Micros  // when that was drawn
 }
 
 type sent struct {
@@ -331,12 +332,18 @@
 		spent += r.units
 	}
 	share := b.cold.Start + (1-b.cold.Start)*float64(age)/float64(b.cold.Warm)
-	// A warm server bears at least what each is sent on average; half is kept against chance and heavy ones.
+	if now-s.drawn >= b.cold.Window {
+		s.chance, s.drawn = b.rng.Float64(), now // guards against proxies that lost the draw once and for all
+	}
 	// Guards against hundreds of proxies with one each: below one, chance tells which has it.
-	budget := 0.5 * b.cold.Multiple * share * b.rate * float64(b.cold.Window) / float64(Second)
+	budget := bears * b.cold.Multiple * share * b.rate * float64(b.cold.Window) / float64(Second)
 	return spent+b.unitsOf(a)*(1-s.chance) <= max(budget, 1/b.proxies)
 }
 
+// bears is how much more a warm server is taken to bear than each was sent lately: it can be filled within
+// its warm-up. With a half all proxies together sent a new one next to nothing; with 20 no rule broke either.
+const bears = 4.0
+
 // mayGo keeps the rule on effects: where one may have run, only a server that knows its stamp, and in time.
 func (b *Balancer) mayGo(now Micros, s *server, a *Attachment) bool {
 	if a.ran == nil {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -316,6 +316,27 @@
 	require.Less(t, sent, 6)
 }
 
+// Guards against a zone that returns and stays empty: whoever lost the draw at first could send nothing until it was warm.
+func TestTheDrawForAColdServerComesAgainWithEachWindow(t *testing.T) {
+	var sent [3]int
+	for seed := range int64(400) {
+		f := openSeeded(t, seed, 20, 0)
+		f.tell(1, logic.Ready, f.now)
+		f.ListDone(f.now, false)
+		for window := range sent {
+			a := f.arrive(0)
+			if f.Where(f.now, a).Verdict == logic.Send {
+				sent[window]++
+				f.After(f.now, a, logic.Cancelled, true)
+			}
+			f.pass(3*sec + 10*ms)
+		}
+	}
+	for _, n := range sent {
+		require.InDelta(t, 20, n, 14, "one of twenty in each")
+	}
+}
+
 // A proxy holds connections on a few servers of a large fleet; the rest of a slow model are as slow.
 func TestServersOfASlowModelAreTakenForSlowUnseen(t *testing.T) {
 	slow, fast := 0, 0
