Returned clients go to servers known to be well where a proxy holds next to nothing

At fault: cost. 80 proxies with one or two connections each count 0 on every other server; one of them hears of the late one and moves its client off, and the client's next proxy has heard nothing and takes that server for the emptiest.

Change: for a client that comes back, where this proxy holds two connections at most, a server without own ones counts ten connections fuller, unless it has just started. First tries are placed as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -303,9 +303,20 @@
 	if s.late(now) {
 		u++ // one more connection's worth; three, or none, did worse on fleets of all sizes
 	}
+	if a.Back && b.held <= few && len(s.standing) == 0 && (s.launched == 0 || now-s.launched >= b.cold.Warm) {
+		// Guards against clients sent off a late server by one proxy and back to it by all the others, which have
+		// heard nothing of it: a server where one's own connections stand well is known to be well.
+		u += unheard
+	}
 	return u / b.size(s)
 }
 
+// few own connections tell next to nothing of a fleet; with more, larger fleets crowded those they know.
+const few = 2
+
+// unheard is more than most differences between servers: with 1 a third of it was gained, with 4 nine tenths.
+const unheard = 10.0
+
 // homing is how many connections fuller a server counts that comes later in the group's own order by as
 // many servers as the group fills. Half of it spread groups too far; twice as much filled their homes.
 const homing = 2.0
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -337,6 +337,25 @@
 	}
 }
 
+// Guards against a late server that all proxies but one take for the emptiest, as none of their clients stands there.
+func TestWhereAProxyHoldsNextToNothingReturnedClientsGoWhereItIsKnownToBeWell(t *testing.T) {
+	known, strange := 0, 0
+	for seed := range int64(40) {
+		f := openSeeded(t, seed, 80, 10)
+		first := f.fill(1)
+		a := f.arrive(0)
+		a.Back = true
+		if on := f.send(a).Server; first[on] != nil {
+			known++
+		}
+		if on := f.send(f.arrive(0)).Server; first[on] == nil {
+			strange++
+		}
+	}
+	require.Equal(t, 40, known)
+	require.Greater(t, strange, 20, "what comes for the first time goes where the count is least")
+}
+
 // A proxy holds connections on a few servers of a large fleet; the rest of a slow model are as slow.
 func TestServersOfASlowModelAreTakenForSlowUnseen(t *testing.T) {
 	slow, fast := 0, 0
