--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -26,7 +26,7 @@
 	// drop is how far below the last load a figure lies that is rather no load: 9 in 10 of those were delays.
 	drop = 4
 	// few is up to how many connections here a first figure may be believed: delays come on one of them, small loads on
-	// all. With up to 3, 8 in 10 were delays; with the 20 and more of a small fleet most were loads.
+	// all. Where proxies hold one or two each, 8 in 10 were delays; with tens a server believing them cost half the score.
 	few = 3
 )
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -314,7 +314,7 @@
 // few own connections tell next to nothing of a fleet; with more, larger fleets crowded those they know.
 const few = 2
 
-// unheard is more than most differences between servers: with 1 a third of it was gained, with 4 nine tenths.
+// unheard is more than most differences between servers: with 1 a quarter was gained, with 4 four fifths.
 const unheard = 10.0
 
 // homing is how many connections fuller a server counts that comes later in the group's own order by as
