--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -22,6 +22,7 @@
 	"github.com/spf13/pflag"
 
 	"hatchproxy/conf"
+	"hatchproxy/internal/admin"
 	"hatchproxy/internal/control"
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/opening"
@@ -194,6 +195,14 @@
 		}
 		defer c.Close()
 	}
+	if at := paper.Admin(); at != "" {
+		p.Tell()
+		a, err := admin.Open(at, p, log)
+		if err != nil {
+			return err
+		}
+		defer a.Close()
+	}
 	return p.Run(leave, again, reread)
 }
 
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,136 @@
+package admin_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/admin"
+	"hatchproxy/internal/telemetry"
+)
+
+// puppet is a proxy that does nothing but tell; one that is stuck never obeys.
+type puppet struct {
+	figures *telemetry.Figures
+	stuck   bool
+	orders  int
+}
+
+func (p *puppet) Figures() *telemetry.Figures { return p.figures }
+
+func (p *puppet) Evacuate(ctx context.Context) error {
+	if p.stuck {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	p.orders++
+	return nil
+}
+
+func (p *puppet) Rejoin(ctx context.Context) error { return p.Evacuate(ctx) }
+
+func open(t *testing.T, p admin.Proxy) string {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.4.0.2:0")
+	require.NoError(t, err)
+	at := free.Addr().String()
+	require.NoError(t, free.Close())
+	a, err := admin.Open(at, p, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	t.Cleanup(a.Close)
+	return at
+}
+
+func call(t *testing.T, at, method, path string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+at+path, nil)
+	require.NoError(t, err)
+	began := time.Now()
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), time.Second, "each answer is due within 1 s")
+	return resp.StatusCode, string(text)
+}
+
+func TestEachCallIsAnsweredWithYesOrNo(t *testing.T) {
+	p := &puppet{}
+	at := open(t, p)
+	status, _ := call(t, at, "GET", "/api/ready")
+	require.Equal(t, 503, status, "nothing has been published yet")
+	var c telemetry.Counts
+	c.Count(`odd"class`, telemetry.Deferred)
+	c.Sends = 7
+	p.figures = c.Copy(telemetry.Now{Ready: true, Current: 14})
+	c.Count(`odd"class`, telemetry.Deferred) // a copy does not change
+	for path, want := range map[string]int{
+		"GET /api/ready": 200, "GET /api/telemetry": 200, "PUT /api/evacuate": 200, "PUT /api/rejoin": 200,
+		"GET /api/evacuate": 405, "PUT /api/ready": 405, "GET /api": 404, "GET /": 404, "DELETE /api/none": 404,
+	} {
+		method, path, _ := strings.Cut(path, " ")
+		status, text := call(t, at, method, path)
+		require.Equal(t, want, status, "%s %s: %s", method, path, text)
+	}
+	require.Equal(t, 2, p.orders)
+	_, text := call(t, at, "GET", "/api/telemetry")
+	require.Contains(t, text, "edge_router_transactions{group=\"odd\\\"class\",state=\"deferred\"} 1\n")
+	require.Contains(t, text, "edge_router_transactions{group=\"odd\\\"class\",state=\"answered\"} 0\n")
+	require.Contains(t, text, "edge_router_sends 7\n")
+	require.Contains(t, text, "edge_router_current 14\n")
+}
+
+func TestAnOrderThatALateProxyHasHeardIsAnsweredInTime(t *testing.T) {
+	status, _ := call(t, open(t, &puppet{stuck: true}), "PUT", "/api/evacuate")
+	require.Equal(t, http.StatusAccepted, status)
+}
+
+func TestCallersThatSayNothingOrHalfACallDoNotKeepOthersOut(t *testing.T) {
+	var c telemetry.Counts
+	at := open(t, &puppet{figures: c.Copy(telemetry.Now{Ready: true})})
+	for i := range 200 {
+		conn, err := net.Dial("tcp", at)
+		require.NoError(t, err)
+		defer conn.Close()
+		_, _ = io.WriteString(conn, []string{"", "GET /api/re", "PUT /api/evacuate HTTP/1.1\r\nContent-Length: 90\r\n\r\n"}[i%3])
+		if i%20 == 0 {
+			status, _ := call(t, at, "GET", "/api/ready")
+			require.Equal(t, 200, status)
+		}
+	}
+	slow, err := net.Dial("tcp", at)
+	require.NoError(t, err)
+	defer slow.Close()
+	for _, b := range []byte("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n") {
+		_, err := slow.Write([]byte{b})
+		require.NoError(t, err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode, "byte for byte is a call like any other")
+	huge, err := net.Dial("tcp", at)
+	require.NoError(t, err)
+	defer huge.Close()
+	_, _ = fmt.Fprintf(huge, "GET /api/ready HTTP/1.1\r\nHost: x\r\nX: %s\r\n\r\n", strings.Repeat("x", 64<<10))
+	require.NoError(t, huge.SetReadDeadline(time.Now().Add(3*time.Second)))
+	if resp, err := http.ReadResponse(bufio.NewReader(huge), nil); err == nil {
+		require.Equal(t, 431, resp.StatusCode)
+	}
+}
+
+func TestAnAddressThatIsTakenIsAClearError(t *testing.T) {
+	at := open(t, &puppet{})
+	_, err := admin.Open(at, &puppet{}, slog.New(slog.DiscardHandler))
+	require.ErrorContains(t, err, "admin_addr: ")
+	require.ErrorContains(t, err, at)
+}
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -19,7 +19,7 @@
 	book Book
 	seed uint64
 
-	name, listen, discovery string
+	name, listen, discovery, admin string
 
 	cores             float64
 	memoryMB, sockets int64
@@ -50,7 +50,7 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	for name, place := range map[string]*string{
-		"ROUTER_NAME": &p.name, "ROUTER_LISTEN": &p.listen,
+		"ROUTER_NAME": &p.name, "ROUTER_LISTEN": &p.listen, "ROUTER_ADMIN_ADDR": &p.admin,
 	} {
 		if value := lookUp(name); value != "" {
 			*place = value
@@ -75,6 +75,8 @@
 	var found struct {
 		Name, Listen, Discovery, Seed string
 
+		Admin string `json:"admin_addr"`
+
 		Limits struct {
 			Cores    float64
 			MemoryMB int64 `json:"memory_mb"`
@@ -95,13 +97,17 @@
 	}
 	return &Paper{
 		book: book, seed: seed, name: found.Name, listen: found.Listen, discovery: found.Discovery,
+		admin: found.Admin,
 		cores: found.Limits.Cores, memoryMB: found.Limits.MemoryMB, sockets: found.Limits.Sockets,
 		known: found.Known, sum: fmt.Sprintf("%x", sha256.Sum256(text))[:16],
 	}, nil
 }
 
 func (p *Paper) check() error {
-	for _, at := range []struct{ name, address string }{{"listen", p.listen}, {"discovery", p.discovery}} {
+	for _, at := range []struct{ name, address string }{{"listen", p.listen}, {"discovery", p.discovery}, {"admin_addr", p.admin}} {
+		if at.name == "admin_addr" && at.address == "" {
+			continue // there need be none
+		}
 		if _, err := netip.ParseAddrPort(at.address); err != nil {
 			return fmt.Errorf("%s: %w", at.name, err)
 		}
@@ -138,6 +144,9 @@
 // Addresses are where clients connect and where the server list is had.
 func (p *Paper) Addresses() (listen, discovery string) { return p.listen, p.discovery }
 
+// Admin is where operators call; "" where they do not.
+func (p *Paper) Admin() string { return p.admin }
+
 // Limits are the cores, the bytes of memory and the descriptors that the proxy may use.
 func (p *Paper) Limits() (cores float64, memory, sockets int64) {
 	return p.cores, p.memoryMB << 20, p.sockets
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -12,6 +12,7 @@
 
 	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/telemetry"
 	"hatchproxy/limits"
 	"hatchproxy/logic"
 )
@@ -21,6 +22,7 @@
 	conn   gnet.Conn
 	talk   protocol.Client
 	id     logic.AttachmentID // 0 until it has asked
+	class  string             // what it asked for, once that is known to be offered
 	at     *logic.Attachment
 	out    *dispatch // on its way, or where the connection stands
 	stands bool
@@ -55,7 +57,7 @@
 	c.wait(&p.silent)
 	p.after(asking, func() {
 		if c.queue == &p.silent {
-			p.answer(c, protocol.Fault(errSilent))
+			p.answer(c, telemetry.Errored, protocol.Fault(errSilent))
 		}
 	})
 	return nil, gnet.None
@@ -113,7 +115,7 @@
 		switch ev {
 		case protocol.Probed:
 			word := protocol.NotReady
-			if p.ready && !p.leaving {
+			if p.ready && p.duty == serving {
 				word = protocol.Ready
 			}
 			_, _ = c.conn.Write(word) // a failure comes as the end of the connection
@@ -133,13 +135,16 @@
 // tells how many there were.
 func (p *Proxy) wrong(c *client, why error) {
 	p.refused, p.why = p.refused+1, why
-	p.answer(c, protocol.Fault(why))
+	p.answer(c, telemetry.Errored, protocol.Fault(why))
 }
 
 // arrived takes an attachment in hand.
 func (p *Proxy) arrived(c *client) {
 	now := p.now()
 	product, known := p.products[c.talk.Product]
+	if known {
+		c.class = c.talk.Product
+	}
 	c.leaveQueue()
 	switch {
 	case !known:
@@ -154,7 +159,7 @@
 		return
 	}
 	if why, wait := p.pass(now, c); why != limits.None {
-		p.answer(c, protocol.Refusal(wait))
+		p.answer(c, telemetry.Deferred, protocol.Refusal(wait))
 		return
 	}
 	most := p.limits[product]
@@ -204,10 +209,13 @@
 }
 
 // answer gives a client its final line and closes.
-func (p *Proxy) answer(c *client, line []byte) {
+func (p *Proxy) answer(c *client, ending telemetry.Ending, line []byte) {
 	if c.over {
 		return
 	}
+	if c.class != "" {
+		p.counts.Count(c.class, ending)
+	}
 	_, _ = c.conn.Write(line) // a failure comes as the end of the connection
 	p.release(c)
 	p.lastWord(c)
@@ -266,14 +274,14 @@
 // PushBack answers that trying again is harmless.
 func (p *Proxy) PushBack(id logic.AttachmentID, in logic.Micros) {
 	if c := p.clients[id]; c != nil {
-		p.answer(c, protocol.Refusal(in))
+		p.answer(c, telemetry.Deferred, protocol.Refusal(in))
 	}
 }
 
 // GiveUp answers with no promise.
 func (p *Proxy) GiveUp(id logic.AttachmentID) {
 	if c := p.clients[id]; c != nil {
-		p.answer(c, protocol.Failed)
+		p.answer(c, telemetry.Errored, protocol.Failed)
 	}
 }
 
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -10,6 +10,7 @@
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/telemetry"
 	"hatchproxy/logic"
 )
 
@@ -110,6 +111,9 @@
 	d.conn = conn
 	_, err := conn.Write(d.client.talk.Line(d.until - p.now()))
 	d.written = err == nil && conn.OutboundBuffered() == 0
+	if d.written {
+		p.counts.Sends++
+	}
 	return gnet.None
 }
 
@@ -145,6 +149,7 @@
 	p.log.Debug("up", "server", d.server.endpoint, "took_us", int64(now-d.began))
 	d.hang()
 	d.server.standing++
+	p.counts.Count(c.class, telemetry.Answered)
 	if c.talk.Stands != "" {
 		p.in.CarriedOver(now, c.at, d.server.id)
 	} else {
@@ -219,9 +224,9 @@
 	switch {
 	case c.over:
 	case now >= c.at.Limit:
-		p.answer(c, protocol.Failed)
+		p.answer(c, telemetry.Errored, protocol.Failed)
 	case p.servers[discovery.ID(c.talk.Stands)] == nil && p.ready && now-c.at.Came > asking:
-		p.answer(c, protocol.Failed) // the list has been had, and such a server is not on it
+		p.answer(c, telemetry.Errored, protocol.Failed) // the list has been had, and such a server is not on it
 	case p.servers[discovery.ID(c.talk.Stands)] == nil:
 		p.after(restoring, func() { p.restore(c) })
 	default:
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -6,9 +6,19 @@
 	"slices"
 
 	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/telemetry"
 	"hatchproxy/logic"
 )
 
+// duty is what a proxy is there for now. All that new clients are told follows from it.
+type duty uint8
+
+const (
+	serving duty = iota
+	evacuating
+	leaving
+)
+
 const (
 	// lateComers is how long the front may go on sending new connections after the word to leave.
 	lateComers = 400 * millisecond
@@ -19,28 +29,68 @@
 	leavingOver = 0.5
 	// leastSpread is for products with very short limits.
 	leastSpread = 300 * millisecond
+	// A proxy that sends its clients away must have moved them all within 4 s: what stands goes within the first
+	// 2.25 s, as spread as when it leaves, and what is still pending is settled in time for its client to be moved.
+	emptying   = 250 * millisecond
+	emptiedBy  = 2250 * millisecond
+	settlingBy = 3400 * millisecond
 )
 
+// take takes up a duty; what was begun under the one before ends.
+func (p *Proxy) take(d duty) (turn int) {
+	p.duty, p.refusing = d, false
+	p.turn++
+	return p.turn
+}
+
 // leave has the proxy go: it takes what still comes for a while, settles what is pending, tells all standing
 // clients to come again, and ends.
 func (p *Proxy) leave() {
-	if p.leaving {
+	if p.duty == leaving {
 		return
 	}
-	p.leaving = true
+	turn := p.take(leaving)
 	p.log.Info("leaving", "attachments", len(p.clients))
 	span := min(p.longest, longestLeave)
 	p.after(lateComers, func() {
 		p.refusing = true
-		p.sendAway(p.now() + max(leastSpread, logic.Micros(leavingOver*float64(span))))
+		p.sendAway(turn, p.now()+max(leastSpread, logic.Micros(leavingOver*float64(span))))
 	})
 	p.after(lateComers+span, p.settle)
 	p.after(lateComers+span+50*millisecond, p.quit)
 }
 
+// evacuate has the proxy send its clients away and go on running. Late comers are taken, as the front notices
+// a moment later, and are moved like the others.
+func (p *Proxy) evacuate() {
+	if p.duty != serving {
+		return
+	}
+	turn, now := p.take(evacuating), p.now()
+	p.log.Info("evacuating", "attachments", len(p.clients))
+	p.after(emptying, func() { p.sendAway(turn, now+emptiedBy) })
+	p.after(emptiedBy, func() { p.refusing = p.refusing || p.turn == turn })
+	p.after(settlingBy, func() {
+		if p.turn == turn {
+			p.settle()
+		}
+	})
+}
+
+// rejoin takes a proxy that evacuates back to work. It knows what it knew.
+func (p *Proxy) rejoin() {
+	if p.duty == evacuating {
+		p.take(serving)
+		p.log.Info("back to work", "attachments", len(p.clients))
+	}
+}
+
 // sendAway moves one of those that stand after the other, evenly until the time is up, and then at once all that
-// come to stand.
-func (p *Proxy) sendAway(until logic.Micros) {
+// come to stand. It ends with the duty under which it was begun.
+func (p *Proxy) sendAway(turn int, until logic.Micros) {
+	if p.turn != turn {
+		return
+	}
 	now := p.now()
 	var standing []*client
 	for _, c := range p.clients {
@@ -48,17 +98,21 @@
 			standing = append(standing, c)
 		}
 	}
-	if len(p.clients) == 0 && now >= until {
+	if p.duty == leaving && len(p.clients) == 0 && now >= until {
 		p.quit()
 		return
 	}
 	slices.SortFunc(standing, func(a, b *client) int { return int(a.id) - int(b.id) })
 	const step = 20 * millisecond
 	steps := int(max(1, (until-now)/step))
+	wait := step
+	if n := len(standing); n > 0 && n < steps {
+		wait = (until - now) / logic.Micros(n) // few are as spread as many
+	}
 	for _, c := range standing[:(len(standing)+steps-1)/steps] {
 		p.move(c, logic.Cancelled)
 	}
-	p.after(step, func() { p.sendAway(until) })
+	p.after(wait, func() { p.sendAway(turn, until) })
 }
 
 // settle has the decisions answer at once what is still pending: it is as if its hard limit had come. Guards
@@ -77,7 +131,7 @@
 		}
 		switch {
 		case c.talk.Stands != "":
-			p.answer(c, protocol.Failed)
+			p.answer(c, telemetry.Errored, protocol.Failed)
 		case d != nil:
 			p.in.Ended(now, id, logic.Cancelled, false)
 		default:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -18,6 +19,7 @@
 	"hatchproxy/internal/host"
 	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/telemetry"
 	"hatchproxy/limits"
 	"hatchproxy/logic"
 	"hatchproxy/orders"
@@ -37,6 +39,7 @@
 	started chan struct{} // closed once the loop is known
 	begin   time.Time
 	epoch   logic.Micros
+	figures atomic.Pointer[telemetry.Figures] // the last copy of the counts
 
 	host     *host.Host
 	in       *host.Instance
@@ -71,9 +74,13 @@
 	sockets  int // descriptors of clients and dispatches
 	due      dueTimes
 	timer    *time.Timer
-	leaving  bool
+	duty     duty
+	turn     int // the number of the duty: what was begun under an earlier one ends
 	refusing bool
 	resting  bool
+	counts   telemetry.Counts
+	copied   logic.Micros // when the counts were copied last
+	telling  bool         // somebody may fetch them
 }
 
 // New makes a proxy that places by b. Each part brings its own few figures; the server list is the one that
@@ -94,6 +101,7 @@
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	for i, name := range products {
 		p.products[name] = logic.ProductID(i)
+		p.counts.Offer(name)
 	}
 	for _, limit := range limits {
 		p.longest = max(p.longest, limit)
@@ -193,6 +201,7 @@
 	p.resting = true
 	p.in.Rest(p.now())
 	p.resting = false
+	p.publish()
 }
 
 // start is the loop's first call.
@@ -373,4 +382,4 @@
 var _ host.Line = (*Proxy)(nil)
 
 // refuse says what a client is told whose attachment the proxy does not take.
-func (p *Proxy) refuse(c *client) { p.answer(c, protocol.Refusal(0)) }
+func (p *Proxy) refuse(c *client) { p.answer(c, telemetry.Deferred, protocol.Refusal(0)) }
--- a/internal/proxy/surface.go
+++ b/internal/proxy/surface.go
@@ -113,9 +113,14 @@
 	}
 	service, err := p.reread()
 	if err != nil {
-		return err
+		_, late := asked(ctx, p, func() bool {
+			p.counts.Invalid++
+			return true
+		})
+		return errors.Join(err, late)
 	}
 	_, err = asked(ctx, p, func() bool {
+		p.counts.Loaded++
 		p.renew(service)
 		return true
 	})
@@ -149,7 +154,7 @@
 	now := p.now()
 	st := control.Status{
 		Control: control.Version, Name: p.about.Name, Version: p.about.Version, PID: os.Getpid(), Started: int64(p.epoch),
-		Now: int64(now), Config: p.about.Config, Listen: p.listen, Ready: p.ready, Leaving: p.leaving, List: p.version,
+		Now: int64(now), Config: p.about.Config, Listen: p.listen, Ready: p.ready, Leaving: p.duty == leaving, List: p.version,
 		ListAge: -1, Clients: len(p.clients), Sockets: p.sockets, Term: p.desk.Term(), Orders: []control.Held{}, Servers: []control.Server{},
 	}
 	if p.listAt > 0 {
