Retuning at SIGHUP: settings hold whole or not at all, what is in hand keeps its rules

Logs of both sides: from 1.2 s after a file was taken each client of the new class heard ERR the class is unknown, up to the end; a file with a deadline of "soon" was taken, as Millis reads what is no number as 0. Ruled out: the drain (kept), the figures (sends, current, servers true throughout).

At fault: Reload handed only discovery's address on, and check looked at no figure of a class. Now each key of the file in force must be there and of its kind, deadlines and attempts are checked, and Balancer.Retune takes a fresh instance's figures over; its table of products only grows, so that an attachment keeps its row with effect and attempts.

--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -41,8 +41,8 @@
   hatchproxy version
 
 The configuration is the file that $ROUTER_CONFIG names; $ROUTER_NAME and $ROUTER_LISTEN go before what stands in
-it, $ROUTER_DISCOVERY counts where it names none. On SIGHUP the file is read again: a new address of discovery
-counts at once, all else from the next start on.
+it, $ROUTER_DISCOVERY counts where it names none. On SIGHUP the file is read again and counts whole or not at all:
+discovery's address and the settings hold for what comes from then on, the addresses and limits from the next start on.
 
 --control unix:PATH, or a loopback address with a port, lets operators ask what the proxy sees and give it orders; it
 is off by default. --orders names a file of orders, a JSON list, that the proxy obeys before it takes any work.
@@ -167,12 +167,22 @@
 	listen, _ := paper.Addresses()
 	products, limits := paper.Products()
 	zones, models := paper.Names()
-	reread := func() (*discovery.Service, error) {
-		paper, _, err := from.read()
+	reread := func() (proxy.Renewal, error) {
+		fresh, _, err := from.read()
 		if err != nil {
-			return nil, err
+			return proxy.Renewal{}, err
 		}
-		return service(paper), nil
+		if err := fresh.Follows(paper); err != nil {
+			return proxy.Renewal{}, err
+		}
+		rules, err := fresh.Balancer()
+		if err != nil {
+			return proxy.Renewal{}, err
+		}
+		paper = fresh
+		products, limits := fresh.Products()
+		return proxy.Renewal{Service: service(fresh), Rules: rules, Products: products, Limits: limits,
+			Dialing: fresh.Dialing(), Late: fresh.Late(), Delays: fresh.TellsDelay()}, nil
 	}
 	log = log.With("proxy", paper.Name())
 	p := proxy.New(log, b, listen, service(paper), paper.Known(), products, limits,
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -26,6 +28,7 @@
 
 	known json.RawMessage
 	sum   string
+	kinds map[string]string // what stands under each key
 }
 
 // FromEnvironment reads the file that ROUTER_CONFIG names; ROUTER_NAME and ROUTER_LISTEN, where set, go before
@@ -91,6 +94,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
+	kinds := map[string]string{}
+	var tree any
+	if err := json.Unmarshal(text, &tree); err != nil {
+		return nil, err
+	}
+	enterKinds(kinds, "", tree)
 	book, err := Nested(found.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -99,7 +108,7 @@
 		book: book, seed: seed, name: found.Name, listen: found.Listen, discovery: found.Discovery,
 		admin: found.Admin,
 		cores: found.Limits.Cores, memoryMB: found.Limits.MemoryMB, sockets: found.Limits.Sockets,
-		known: found.Known, sum: fmt.Sprintf("%x", sha256.Sum256(text))[:16],
+		known: found.Known, kinds: kinds, sum: fmt.Sprintf("%x", sha256.Sum256(text))[:16],
 	}, nil
 }
 
@@ -128,10 +137,103 @@
 	if len(products) == 0 {
 		return errors.New("settings: products: none")
 	}
+	if err := p.checkFigures(len(products)); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	_, err = p.Balancer()
 	return err
 }
 
+const (
+	// longestDeadline and mostDispatches are far above what anybody waits or pays for.
+	longestDeadline = 1e9
+	mostDispatches  = 1e4
+)
+
+// checkFigures guards against deadlines and numbers of attempts under which nobody would be served, or for ever.
+func (p *Paper) checkFigures(products int) error {
+	above := func(path string, most float64, needed bool) error {
+		value, there := p.book[path]
+		if !there && !needed {
+			return nil
+		}
+		if x, err := strconv.ParseFloat(value, 64); err != nil || !(x > 0 && x <= most) {
+			return fmt.Errorf("%s: %.40q is no number above 0 and up to %g", path, value, most)
+		}
+		return nil
+	}
+	errs := []error{above("limits.max-dispatches", mostDispatches, false)}
+	names := map[string]bool{"": true}
+	for i := range products {
+		at := "products." + strconv.Itoa(i) + "."
+		if name := p.book[at+"name"]; names[name] {
+			errs = append(errs, fmt.Errorf("%sname: %.40q is empty or stands there twice", at, name))
+		} else {
+			names[name] = true
+		}
+		errs = append(errs, above(at+"hard-limit-ms", longestDeadline, true), above(at+"quoted-time-ms", longestDeadline, false))
+	}
+	if x, err := p.book.number("limits.max-dispatches"); err == nil && x != math.Trunc(x) {
+		errs = append(errs, fmt.Errorf("limits.max-dispatches: %g is no whole number", x))
+	}
+	return errors.Join(errs...)
+}
+
+// Follows tells what is wrong with a file that is to take another's place: each key that the other has must be there
+// and be of the same kind. Guards against one that was cut short or lost a line, and still reads well.
+func (p *Paper) Follows(other *Paper) error {
+	for _, path := range slices.Sorted(maps.Keys(other.kinds)) {
+		kind, there := p.kinds[path]
+		if other.kinds[path] == nothing {
+			continue
+		}
+		if !there {
+			return fmt.Errorf("%s: missing, and the configuration in force has it", path)
+		}
+		if kind != other.kinds[path] {
+			return fmt.Errorf("%s: %s, where the configuration in force has %s", path, kind, other.kinds[path])
+		}
+	}
+	return nil
+}
+
+// enterKinds notes what kind of value stands under each key. Rows of a list share their keys: what not all of them have
+// is no key that must be there. The list of servers is left out, for it changes by itself.
+func enterKinds(kinds map[string]string, path string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		kinds[path] = "a group"
+		for name, inner := range v {
+			if path == "" && name == "known" {
+				continue
+			}
+			enterKinds(kinds, path+"/"+name, inner)
+		}
+	case []any:
+		kinds[path] = "a list"
+		var shared map[string]string
+		for _, item := range v {
+			row := map[string]string{}
+			enterKinds(row, path+"/*", item)
+			if shared == nil {
+				shared = row
+			}
+			maps.DeleteFunc(shared, func(at, kind string) bool { return row[at] != kind })
+		}
+		maps.Copy(kinds, shared)
+	case string:
+		kinds[path] = "a text"
+	case float64:
+		kinds[path] = "a number"
+	case bool:
+		kinds[path] = "yes or no"
+	default:
+		kinds[path] = nothing
+	}
+}
+
+const nothing = "nothing"
+
 // leastSockets leaves room for the program's own descriptors and a few connections.
 const leastSockets = 64
 
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -82,3 +84,49 @@
 		require.ErrorContains(t, err, words)
 	}
 }
+
+const full = `{"name":"n3","listen":"127.0.0.4:8081","discovery":"127.2.0.1:8500","seed":"8c","admin_addr":"127.0.0.4:1",
+"limits":{"cores":1.0,"memory_mb":64,"sockets":4096},"known":{"rev":41,"all":true,"targets":[]},
+"settings":{"localities":["a"],"models":["m"],"limits":{"max-dispatches":6,"dial-timeout-ms":250.0},
+"products":[{"name":"chat","idempotency":"repeatable","hard-limit-ms":1800.0,"quoted-time-ms":300.0}],"family-info":{"message-aim-ms":[150.0]}}}`
+
+// replace reads a file that is to take the place of full.
+func replace(t *testing.T, text string) error {
+	old, err := opening.FromText([]byte(full))
+	require.NoError(t, err)
+	fresh, err := opening.FromText([]byte(text))
+	if err != nil {
+		return err
+	}
+	return fresh.Follows(old)
+}
+
+func TestAFileThatIsReadAgainCountsWholeOrNotAtAll(t *testing.T) {
+	require.NoError(t, replace(t, full))
+	for i := range full {
+		require.Error(t, replace(t, full[:i]), "cut after %d bytes", i)
+	}
+	second := `{"name":"pay","idempotency":"once","hard-limit-ms":900,"quoted-time-ms":300.0}`
+	require.NoError(t, replace(t, strings.Replace(full, "300.0}]", "300.0},"+second+"]", 1)), "a class may come")
+	require.NoError(t, replace(t, strings.Replace(full, `"chat"`, `"pay"`, 1)), "and another go")
+	require.NoError(t, replace(t, strings.Replace(full, `"rev":41,`, "", 1)), "the list is not what is retuned")
+	keys := regexp.MustCompile(`"([a-z_-]+)":`).FindAllStringSubmatch(full, -1)
+	require.Greater(t, len(keys), 15)
+	for _, key := range keys {
+		if slices.Contains([]string{"rev", "all", "targets", "known"}, key[1]) {
+			continue
+		}
+		require.Error(t, replace(t, strings.Replace(full, key[0], `"x-`+key[1]+`":`, 1)), "without %s", key[1])
+	}
+	for _, bad := range []string{"0", "-1", `"soon"`, `"6"`, "null", "NaN", "1e400", "1e12", "[6]", "{}", "true"} {
+		for _, key := range []string{`"max-dispatches":6`, `"hard-limit-ms":1800.0`, `"quoted-time-ms":300.0`} {
+			name, _, _ := strings.Cut(key, ":")
+			require.Error(t, replace(t, strings.Replace(full, key, name+":"+bad, 1)), "%s: %s", name, bad)
+		}
+	}
+	require.ErrorContains(t, replace(t, strings.Replace(full, `:6,`, `:1.5,`, 1)), "limits.max-dispatches: 1.5 is no whole number")
+	require.ErrorContains(t, replace(t, strings.Replace(full, `"cores":1.0,`, ``, 1)), "/limits/cores: missing")
+	require.ErrorContains(t, replace(t, strings.Replace(full, "300.0}]", "300.0},"+strings.Replace(second, "pay", "chat", 1)+"]", 1)), "stands there twice")
+	require.ErrorContains(t, replace(t, strings.Replace(full, "300.0}]", "300.0},"+strings.Replace(second, `"idempotency":"once",`, "", 1)+"]", 1)),
+		"/settings/products/*/idempotency: missing", "each row holds what rows held before")
+}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -141,7 +141,7 @@
 // arrived takes an attachment in hand.
 func (p *Proxy) arrived(c *client) {
 	now := p.now()
-	product, known := p.products[c.talk.Product]
+	offered, known := p.offers[c.talk.Product]
 	if known {
 		c.class = c.talk.Product
 	}
@@ -162,7 +162,7 @@
 		p.answer(c, telemetry.Deferred, protocol.Refusal(wait))
 		return
 	}
-	most := p.limits[product]
+	most := offered.limit
 	if c.talk.Stands != "" {
 		most = longestRestore
 	}
@@ -171,7 +171,7 @@
 	c.id = p.lastID
 	p.ids[c.talk.ID] = true
 	c.at = &logic.Attachment{
-		ID: c.id, Product: product, Group: c.talk.Group, Key: c.talk.Key, Hint: c.talk.Hint, Back: c.talk.Back,
+		ID: c.id, Product: offered.product, Group: c.talk.Group, Key: c.talk.Key, Hint: c.talk.Hint, Back: c.talk.Back,
 		Came: now, Limit: now + max(wait-margin, wait/2),
 	}
 	p.clients[c.id] = c
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,17 +42,18 @@
 	epoch   logic.Micros
 	figures atomic.Pointer[telemetry.Figures] // the last copy of the counts
 
-	host     *host.Host
-	in       *host.Instance
-	products map[string]logic.ProductID
-	limits   []logic.Micros // hard limits
-	longest  logic.Micros   // the longest of them
-	zones    map[string]logic.ZoneID
-	models   map[string]logic.ModelID
-	dialing  logic.Micros
-	late     logic.Micros // what a message takes at a server that is told to be late
-	delays   bool         // servers tell delays beside loads
-	most     int          // sockets
+	rereading sync.Mutex // guards reread, which is called beside the loop
+
+	host    *host.Host
+	in      *host.Instance
+	offers  map[string]offer // the classes
+	longest logic.Micros     // the longest hard limit that has held
+	zones   map[string]logic.ZoneID
+	models  map[string]logic.ModelID
+	dialing logic.Micros
+	late    logic.Micros // what a message takes at a server that is told to be late
+	delays  bool         // servers tell delays beside loads
+	most    int          // sockets
 
 	clients  map[logic.AttachmentID]*client
 	ids      map[uint64]bool // that clients in hand came with
@@ -65,7 +67,7 @@
 	told     uint64       // how many it had turned away when that was logged
 	desk     *orders.Desk
 	about    About
-	reread   func() (*discovery.Service, error)
+	reread   func() (Renewal, error)
 	listAt   logic.Micros // when the list was last told
 	version  int64
 	watch    context.CancelFunc
@@ -92,20 +94,17 @@
 		log: log, listen: listen, service: service,
 		started: make(chan struct{}),
 		begin:   now, epoch: logic.Micros(now.UnixMicro()),
-		products: map[string]logic.ProductID{}, limits: limits,
 		zones: map[string]logic.ZoneID{}, models: map[string]logic.ModelID{},
 		dialing: dialing, late: late, most: int(sockets) - ownSockets,
 		clients: map[logic.AttachmentID]*client{}, ids: map[uint64]bool{}, servers: map[logic.ServerID]*server{}, version: discovery.None,
 		desk: orders.New(),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
-	for i, name := range products {
-		p.products[name] = logic.ProductID(i)
-		p.counts.Offer(name)
-	}
-	for _, limit := range limits {
-		p.longest = max(p.longest, limit)
+	numbers := make([]logic.ProductID, len(products))
+	for i := range products {
+		numbers[i] = logic.ProductID(i)
 	}
+	p.offer(products, limits, numbers)
 	for i, name := range zones {
 		p.zones[name] = logic.ZoneID(i)
 	}
@@ -134,8 +133,8 @@
 const ownSockets = 32
 
 // Run serves until it is told to leave, and returns nil if it left in good order. Whenever again says so, reread
-// tells where the server list is had from now on.
-func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (*discovery.Service, error)) error {
+// tells what holds from now on.
+func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (Renewal, error)) error {
 	defer p.stop()
 	p.reread = reread
 	go func() {
@@ -354,7 +353,6 @@
 // renew follows the list of another service from now on. The last list is kept until the first answer, which is
 // a whole one: versions are those of a service, and one of the old would hide changes.
 func (p *Proxy) renew(to *discovery.Service) {
-	p.log.Info("the configuration was read again")
 	old := p.service
 	p.service, p.version = to, discovery.None
 	p.Subscribe()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -29,6 +29,8 @@
 	listen string
 	list   *fleet.Hand
 	leave  chan os.Signal
+	again  chan os.Signal
+	file   func() (proxy.Renewal, error) // what is read again
 	ended  chan error
 	proxy  *proxy.Proxy
 }
@@ -70,7 +72,8 @@
 	}
 	free, err := net.Listen("tcp", "127.4.0.1:0") // where no connection goes out from, which could take it meanwhile
 	require.NoError(t, err)
-	s := &stage{t, free.Addr().String(), list, make(chan os.Signal, 1), make(chan error, 1), nil}
+	s := &stage{T: t, listen: free.Addr().String(), list: list, leave: make(chan os.Signal, 1), again: make(chan os.Signal, 1),
+		ended: make(chan error, 1), file: func() (proxy.Renewal, error) { return proxy.Renewal{}, errors.New("there is nothing to read again") }}
 	require.NoError(t, free.Close())
 	b, err := opening.Lines(book).Balancer(7)
 	require.NoError(t, err)
@@ -81,7 +84,7 @@
 	s.proxy = p
 	p.Introduce(proxy.About{Name: "n0", Level: new(slog.LevelVar)}, nil)
 	more(p)
-	go func() { s.ended <- p.Run(s.leave, nil, nil) }()
+	go func() { s.ended <- p.Run(s.leave, s.again, func() (proxy.Renewal, error) { return s.file() }) }()
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", s.listen)
 		if err != nil {
--- a/internal/proxy/surface.go
+++ b/internal/proxy/surface.go
@@ -106,27 +106,6 @@
 	return s.uid
 }
 
-// Reload reads the configuration again and follows the list where it says now.
-func (p *Proxy) Reload(ctx context.Context) error {
-	if p.reread == nil {
-		return errors.New("there is nothing to read again")
-	}
-	service, err := p.reread()
-	if err != nil {
-		_, late := asked(ctx, p, func() bool {
-			p.counts.Invalid++
-			return true
-		})
-		return errors.Join(err, late)
-	}
-	_, err = asked(ctx, p, func() bool {
-		p.counts.Loaded++
-		p.renew(service)
-		return true
-	})
-	return err
-}
-
 // Leave has the proxy go in good order.
 func (p *Proxy) Leave(ctx context.Context) error {
 	_, err := asked(ctx, p, func() bool {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,7 +19,8 @@
 type Balancer struct {
 	zone             ZoneID
 	rng              *rand.Rand
-	products         []Product
+	products         []Product   // only ever grows: an attachment keeps the row under which it began
+	offered          []ProductID // to new attachments
 	list             Listing
 	follow           following
 	cold             ColdRule
@@ -113,13 +114,35 @@
 // New starts an instance. Each part brings its own few figures.
 func New(seed int64, number, proxies int, zone ZoneID, products []Product, weighing Weighing,
 	list Listing, cold ColdRule, leave Leave, crossing, moving float64) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		zone: zone, rng: rand.New(rand.NewSource(seed)),
-		products: products, weighing: weighing, list: list, cold: cold, leave: leave,
+		weighing: weighing, list: list, cold: cold, leave: leave,
 		crossing: crossing, moving: moving, proxies: float64(max(proxies, 1)), next: number, weight: 1,
 		byID: map[ServerID]*server{}, holders: map[ClientKey]ServerID{},
 		loads: map[ClientKey]float64{}, members: map[GroupID]int{}, models: map[ModelID]*kind{},
 	}
+	for _, p := range products {
+		p.Dispatches = cmp.Or(p.Dispatches, leave.Dispatches)
+		b.products = append(b.products, p)
+		b.offered = append(b.offered, ProductID(len(b.offered)))
+	}
+	return b
+}
+
+// Retune takes over the figures of an instance that has just been made, and keeps all that it knows. It
+// returns the numbers of the other's products here. What is in hand keeps the rules that it began with.
+func (b *Balancer) Retune(fresh *Balancer) []ProductID {
+	b.list, b.cold, b.leave, b.weighing = fresh.list, fresh.cold, fresh.leave, fresh.weighing
+	b.crossing, b.moving = fresh.crossing, fresh.moving
+	b.offered = nil
+	for _, p := range fresh.products {
+		i := slices.Index(b.products, p)
+		if i < 0 {
+			i, b.products = len(b.products), append(b.products, p)
+		}
+		b.offered = append(b.offered, ProductID(i))
+	}
+	return b.offered
 }
 
 // Offers tells whether the table of products holds this one.
@@ -384,7 +407,7 @@
 		return Answer{}
 	}
 	late := now+5*Millisecond >= a.Limit // the last tick is kept for the final answer
-	if late || a.sends >= b.leave.Dispatches || !b.mayRepeat(now, a) || b.barred(a) {
+	if late || a.sends >= b.products[a.Product].Dispatches || !b.mayRepeat(now, a) || b.barred(a) {
 		return b.never(a)
 	}
 	s := b.holder(now, a)
@@ -498,7 +521,7 @@
 func (b *Balancer) patience(now Micros, a *Attachment) Micros {
 	p := &b.products[a.Product]
 	left := a.Limit - now
-	if p.Repeat == OneShot || a.sends >= b.leave.Dispatches || len(b.failing) > 0 || now-b.stood > stoodLately {
+	if p.Repeat == OneShot || a.sends >= p.Dispatches || len(b.failing) > 0 || now-b.stood > stoodLately {
 		return left
 	}
 	usual := Micros(b.setup.mean + 4*b.setup.spread)
@@ -720,8 +743,8 @@
 // quickest is the shortest quoted time of a message.
 func (b *Balancer) quickest() Micros {
 	q := Micros(math.MaxInt64)
-	for _, p := range b.products {
-		q = min(q, cmp.Or(p.Message, q))
+	for _, id := range b.offered {
+		q = min(q, cmp.Or(b.products[id].Message, q))
 	}
 	return q
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -493,6 +493,55 @@
 	require.Equal(t, logic.PushBack, f.After(f.now, a, logic.Full, false).Verdict)
 }
 
+// retuned is an instance made from other figures.
+func retuned(dispatches int, products ...logic.Product) *logic.Balancer {
+	return logic.New(2, 0, 1, 0, products, logic.ByNominalSize, logic.Listing{Subscribe: true, Within: 10 * sec},
+		logic.ColdRule{}, logic.Leave{Dispatches: dispatches, Advice: sec}, 0.2, 0.01)
+}
+
+func TestWhatIsInHandKeepsTheRulesItBeganWith(t *testing.T) {
+	harmless := logic.Product{Quoted: 300 * ms, Repeat: logic.Harmless, Message: 150 * ms}
+	once := harmless
+	once.Repeat = logic.OneShot
+	f := open(t, 8, harmless)
+	old := f.arrive(0)
+	f.send(old)
+	numbers := f.Retune(retuned(2, once))
+	require.Equal(t, []logic.ProductID{1}, numbers, "another effect is another row")
+	fresh := f.arrive(numbers[0])
+	f.send(fresh)
+	require.Equal(t, logic.GiveUp, f.After(f.now, fresh, logic.TimedOut, false).Verdict, "it may have run, and runs once")
+	for range 4 {
+		require.Equal(t, logic.Send, f.After(f.now, old, logic.TimedOut, false).Verdict, "harmless, five times in all")
+	}
+	require.Equal(t, logic.PushBack, f.After(f.now, old, logic.TimedOut, false).Verdict)
+	fresh = f.arrive(numbers[0])
+	f.send(fresh)
+	require.Equal(t, logic.Send, f.After(f.now, fresh, logic.Full, false).Verdict)
+	require.Equal(t, logic.PushBack, f.After(f.now, fresh, logic.Full, false).Verdict, "two in all")
+}
+
+func TestRetuningKeepsWhatIsKnown(t *testing.T) {
+	f := open(t, 3)
+	f.fill(9)
+	f.tell(2, logic.Draining, 0)
+	f.ListDone(f.now, true)
+	for range 50 {
+		require.Len(t, f.Retune(retuned(2, status, status)), 2)
+	}
+	require.Equal(t, f.Retune(retuned(2, status)), f.Retune(retuned(2, status)), "the table does not grow by files that say the same")
+	for id := logic.ServerID(1); id <= 3; id++ {
+		seen, known := f.See(f.now, id)
+		require.True(t, known)
+		require.Equal(t, 3, seen.Standing)
+		require.Equal(t, id == 2, seen.State == logic.Draining)
+	}
+	for range 6 {
+		_, id := f.place()
+		require.NotEqual(t, logic.ServerID(2), id)
+	}
+}
+
 func ids(as []*logic.Attachment) []logic.AttachmentID {
 	var out []logic.AttachmentID
 	for _, a := range as {
--- a/logic/types.go
+++ b/logic/types.go
@@ -11,7 +11,7 @@
 type (
 	AttachmentID uint64
 	ServerID     uint64
-	ProductID    uint8
+	ProductID    uint16
 	ZoneID       uint16
 	ModelID      uint16
 	CellID       uint16
@@ -88,7 +88,7 @@
 
 // Leave is what the deployment permits.
 type Leave struct {
-	Dispatches int
+	Dispatches int    // for each product that says nothing else
 	Advice     Micros // a push back may ask the client to stay away for up to this
 	Through    bool   // packets pass through: connections outlive their proxy
 	Probes     bool   // servers may be probed, and nothing else tells of late messages
@@ -138,6 +138,8 @@
 	Message Micros // quoted time of a message on a standing connection
 	Gain    float64
 	ByWork  bool // the gain is for each unit of load, not for each attachment
+
+	Dispatches int // the most for an attachment
 }
 
 // Attachment is a client's connection. The host keeps it; the fields below the gap are the module's notes.
