--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -15,6 +15,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -205,6 +206,15 @@
 		}
 		defer c.Close()
 	}
+	if fd := os.Getenv("ROUTER_SOCKET_FD"); fd != "" {
+		n, err := strconv.Atoi(fd)
+		if err != nil || n < 3 {
+			return fmt.Errorf("ROUTER_SOCKET_FD: %.40q is no descriptor", fd)
+		}
+		if err := p.Inherit(n, os.Getenv("TMPDIR")); err != nil {
+			return fmt.Errorf("ROUTER_SOCKET_FD: %w", err)
+		}
+	}
 	if at := paper.Admin(); at != "" {
 		p.Tell()
 		a, err := admin.Open(at, p, log)
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -92,6 +92,9 @@
 // Drop gives back what the machine holds.
 func (c *Client) Drop() { c.in.drop() }
 
+// Held is what has come of a first line that is not whole yet.
+func (c *Client) Held() []byte { return c.in.part() }
+
 func (c *Client) read(line string) error {
 	words := strings.Split(line, " ")
 	if words[0] != "OPEN" {
--- a/internal/protocol/lines.go
+++ b/internal/protocol/lines.go
@@ -56,6 +56,14 @@
 	return line[:len(line)-2], rest, true, nil
 }
 
+// part is a copy of what has come of a line that is not whole yet.
+func (l *lines) part() []byte {
+	if l.held == nil {
+		return nil
+	}
+	return bytes.Clone(l.held[:l.size])
+}
+
 // drop gives the buffer back.
 func (l *lines) drop() {
 	if l.held != nil {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -107,6 +107,9 @@
 	return Message
 }
 
+// Resume has the machine go on with a connection that stands, between two lines.
+func (s *Server) Resume() { s.stands = true }
+
 // Between tells that the last line that was passed on has come whole.
 func (s *Server) Between() bool { return s.length == 0 }
 
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -31,6 +31,9 @@
 	place  *list.Element
 	gated  bool           // the gate has let it in, and is to be told when it leaves
 	sent   []logic.Micros // when the messages came that have not been answered
+	came   logic.Micros   // when it connected
+	passed net.Conn       // its socket as another process passed it on, until the loop has it
+	early  []byte         // what came for it from its server, or from itself, before the loop had it
 
 	figures notes.Conn
 }
@@ -47,20 +50,24 @@
 // accepted takes a connection in. There is always a descriptor for one more: an accept that finds none would end
 // the loop.
 func (p *Proxy) accepted(conn gnet.Conn) ([]byte, gnet.Action) {
-	c := &client{conn: conn}
+	c := &client{conn: conn, came: p.now()}
 	conn.SetContext(c)
 	p.sockets++
 	if !p.room(0) {
 		c.over = true
 		return protocol.Refusal(0), gnet.Close
 	}
+	p.awaitAsking(c)
+	return nil, gnet.None
+}
+
+func (p *Proxy) awaitAsking(c *client) {
 	c.wait(&p.silent)
-	p.after(asking, func() {
+	p.at(c.came+asking, func() {
 		if c.queue == &p.silent {
 			p.answer(c, telemetry.Errored, protocol.Fault(errSilent))
 		}
 	})
-	return nil, gnet.None
 }
 
 // wait puts a client at the end of a queue; it stands in one at most.
@@ -115,7 +122,7 @@
 		switch ev {
 		case protocol.Probed:
 			word := protocol.NotReady
-			if p.ready && p.duty == serving {
+			if p.ready && (p.duty == serving || p.duty == leaving && p.inherits()) {
 				word = protocol.Ready
 			}
 			_, _ = c.conn.Write(word) // a failure comes as the end of the connection
@@ -317,7 +324,7 @@
 }
 
 // isOpen tells whether gnet still holds a connection: it forgets the context of one that it has closed.
-func isOpen(conn gnet.Conn) bool { return conn.Context() != nil }
+func isOpen(conn gnet.Conn) bool { return conn != nil && conn.Context() != nil }
 
 func isReset(err error) bool {
 	return err != nil && !errors.Is(err, io.EOF) &&
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -104,6 +104,9 @@
 
 // connected sends the line. A connection for what is over by now is closed.
 func (p *Proxy) connected(d *dispatch, conn gnet.Conn) gnet.Action {
+	if c := d.client; c.stands {
+		return p.serverResumed(c, conn)
+	}
 	p.sockets-- // the dial closes its own descriptor
 	if d.over {
 		return gnet.Close
@@ -118,6 +121,10 @@
 }
 
 func (p *Proxy) serverSays(d *dispatch, b []byte) {
+	if c := d.client; c.stands && c.conn == nil {
+		c.early = append(c.early, b...)
+		return
+	}
 	for len(b) > 0 && !d.over {
 		var ev protocol.ServerEvent
 		var pass []byte
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -50,16 +50,28 @@
 		return
 	}
 	turn := p.take(leaving)
-	p.log.Info("leaving", "attachments", len(p.clients))
+	p.log.Info("leaving", "attachments", len(p.clients), "heir", p.inherits())
 	span := min(p.longest, longestLeave)
-	p.after(lateComers, func() {
-		p.refusing = true
-		p.sendAway(turn, p.now()+max(leastSpread, logic.Micros(leavingOver*float64(span))))
-	})
+	sweep := max(leastSpread, logic.Micros(leavingOver*float64(span)))
+	p.stopAccepting()
+	if p.inherits() {
+		p.passOnAll(turn, sweep)
+		p.after(lateComers+sweep, func() { p.sweep(turn, 0) }) // what could not be passed on
+	} else {
+		p.after(lateComers, func() { p.sweep(turn, sweep) })
+	}
 	p.after(lateComers+span, p.settle)
 	p.after(lateComers+span+50*millisecond, p.quit)
 }
 
+// sweep refuses who still comes and sends the others away, once in a turn.
+func (p *Proxy) sweep(turn int, span logic.Micros) {
+	if p.turn == turn && p.swept != turn {
+		p.refusing, p.swept = true, turn
+		p.sendAway(turn, p.now()+span)
+	}
+}
+
 // evacuate has the proxy send its clients away and go on running. Late comers are taken, as the front notices
 // a moment later, and are moved like the others.
 func (p *Proxy) evacuate() {
@@ -92,17 +104,11 @@
 		return
 	}
 	now := p.now()
-	var standing []*client
-	for _, c := range p.clients {
-		if c.stands {
-			standing = append(standing, c)
-		}
-	}
+	standing := p.standing()
 	if p.duty == leaving && len(p.clients) == 0 && now >= until {
 		p.quit()
 		return
 	}
-	slices.SortFunc(standing, func(a, b *client) int { return int(a.id) - int(b.id) })
 	const step = 20 * millisecond
 	steps := int(max(1, (until-now)/step))
 	wait := step
@@ -115,6 +121,18 @@
 	p.after(wait, func() { p.sendAway(turn, until) })
 }
 
+// standing lists the clients whose connections stand, in the order in which they came.
+func (p *Proxy) standing() []*client {
+	var standing []*client
+	for _, c := range p.clients {
+		if c.stands {
+			standing = append(standing, c)
+		}
+	}
+	slices.SortFunc(standing, func(a, b *client) int { return int(a.id) - int(b.id) })
+	return standing
+}
+
 // settle has the decisions answer at once what is still pending: it is as if its hard limit had come. Guards
 // against attachments that wait longer than the proxy may stay.
 func (p *Proxy) settle() {
@@ -152,6 +170,10 @@
 		}
 	}
 	p.stop()
+	if p.heritage != nil {
+		close(p.heritage.halt)
+		return
+	}
 	// What has been written but not taken by the kernel gets a moment; Stop waits for the loop, so it must
 	// not run on it.
 	go func() { _ = p.engine.Stop(context.Background()) }()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -83,6 +83,8 @@
 	counts   telemetry.Counts
 	copied   logic.Micros // when the counts were copied last
 	telling  bool         // somebody may fetch them
+	swept    int          // the turn in which clients were begun to be sent away
+	heritage *heritage    // nil: the listener is its own
 }
 
 // New makes a proxy that places by b. Each part brings its own few figures; the server list is the one that
@@ -152,14 +154,18 @@
 			}
 		}
 	}()
-	go p.callSelf()
-	err := gnet.Run(p, "tcp://"+p.listen,
+	options := []gnet.Option{
 		// One loop that accepts for itself: with ReusePort gnet puts the listener into the loop, where
 		// otherwise a second one would hand sockets over.
 		gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-		gnet.WithReadBufferCap(16<<10), gnet.WithWriteBufferCap(16<<10),
-		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(gnetLog{p.log}))
-	return errors.Join(err, p.fault)
+		gnet.WithReadBufferCap(16 << 10), gnet.WithWriteBufferCap(16 << 10),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(gnetLog{p.log}),
+	}
+	if p.heritage != nil {
+		return errors.Join(p.runInherited(options...), p.fault)
+	}
+	go p.callSelf()
+	return errors.Join(gnet.Run(p, "tcp://"+p.listen, options...), p.fault)
 }
 
 // callSelf opens one connection to the own listener: gnet hands its loop out only with a connection.
@@ -225,6 +231,8 @@
 	}
 	defer p.rest()
 	switch side := c.Context().(type) {
+	case *client:
+		return nil, p.resumed(side, c)
 	case *dispatch:
 		return nil, p.connected(side, c)
 	case *probe:
@@ -336,6 +344,7 @@
 			}
 			p.version, p.ready = version, true
 			tell(&listed{p, false})
+			p.accept()
 		})
 	}
 	go func() {
@@ -345,6 +354,7 @@
 				p.log.Warn("the server list cannot be had", "error", err)
 				p.ready = p.ready || len(p.servers) > 0
 				p.in.ListFailed(p.now())
+				p.accept()
 			}
 		})
 	}()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -112,11 +112,11 @@
 	if c.over {
 		return
 	}
-	if !d.talk.Between() && p.now() < latest {
+	if (!d.talk.Between() || c.conn == nil) && p.now() < latest {
 		p.after(10*millisecond, func() { p.moveBy(c, o, latest) })
 		return
 	}
-	if d.talk.Between() {
+	if d.talk.Between() && c.conn != nil {
 		_, _ = c.conn.Write(protocol.Leave) // a failure comes as the end of the connection
 		if c.over {
 			return
--- /dev/null
+++ b/internal/proxy/succeed.go
@@ -0,0 +1,459 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"hatchproxy/internal/discovery"
+	"hatchproxy/internal/notes"
+	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/succession"
+	"hatchproxy/logic"
+)
+
+// heritage is what a proxy has whose listening socket is the platform's: it is one of two processes now and then.
+type heritage struct {
+	listener  *net.TCPListener
+	folder    string // where the two find each other; "" for nowhere
+	accepting bool
+	seat      *succession.Seat
+	before    *succession.Channel // to the process that ran already; nil if there is none
+	heir      *succession.Channel // to the one that has come to take this one's place
+	ready     bool                // the heir can serve
+	halt      chan struct{}
+}
+
+// Inherit has the proxy accept on a listening socket that it was given, and pass on what it holds to the next
+// process, which finds it in the folder. It is to be called before Run.
+func (p *Proxy) Inherit(fd int, folder string) error {
+	f := os.NewFile(uintptr(fd), "listener")
+	if f == nil {
+		return fmt.Errorf("descriptor %d is none", fd)
+	}
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	tcp, isTCP := l.(*net.TCPListener)
+	if !isTCP {
+		_ = l.Close()
+		return fmt.Errorf("descriptor %d listens for %s, not for TCP", fd, l.Addr().Network())
+	}
+	p.heritage = &heritage{listener: tcp, folder: folder, halt: make(chan struct{})}
+	return nil
+}
+
+// runInherited runs the loop without a listener of its own.
+func (p *Proxy) runInherited(options ...gnet.Option) error {
+	p.findPredecessor()
+	client, err := gnet.NewClient(p, options...)
+	if err != nil {
+		return err
+	}
+	if err := client.Start(); err != nil {
+		return err
+	}
+	defer func() { _ = client.Stop() }()
+	own, other, err := pair()
+	if err != nil {
+		return err
+	}
+	// The loop is had with a connection only.
+	if _, err := client.Enroll(own); err != nil {
+		return err
+	}
+	<-p.started
+	_ = other.Close()
+	p.hearPredecessor()
+	<-p.heritage.halt
+	return nil
+}
+
+// pair makes two ends of one connection.
+func pair() (own, other net.Conn, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer l.Close()
+	if other, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		return nil, nil, err
+	}
+	if own, err = l.Accept(); err != nil {
+		_ = other.Close()
+		return nil, nil, err
+	}
+	return own, other, nil
+}
+
+// accept takes connections in until it is told to stop; what comes later waits for whoever accepts next.
+func (p *Proxy) accept() {
+	h := p.heritage
+	if h == nil || h.accepting || p.duty == leaving || !p.ready {
+		return
+	}
+	h.accepting = true
+	_ = h.listener.SetDeadline(time.Time{})
+	go func() {
+		for {
+			conn, err := h.listener.Accept()
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
+				return
+			case err != nil: // descriptors are short for a moment, or the client has left
+				p.log.Warn("accept", "error", err)
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			if _, err := p.loop.Enroll(context.Background(), conn); err != nil {
+				_ = conn.Close()
+				return
+			}
+		}
+	}()
+	if h.seat == nil && h.folder != "" {
+		seat, err := succession.Take(h.folder, func(c *succession.Channel) { p.post(func() { p.heirComes(c) }) })
+		if err != nil {
+			p.log.Warn("the next process will not find this one", "error", err)
+			h.folder = ""
+		}
+		h.seat = seat
+	}
+	if h.before != nil {
+		p.sayNext(h.before, packet{Ready: true})
+	}
+}
+
+func (p *Proxy) stopAccepting() {
+	if h := p.heritage; h != nil && h.accepting {
+		h.accepting = false
+		_ = h.listener.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// packet is what the two processes tell each other, one thing in each.
+type packet struct {
+	Ready   bool     `json:",omitempty"` // from the heir: it can serve
+	Stands  *stands  `json:",omitempty"` // with a client's socket and its server's
+	Unasked *unasked `json:",omitempty"` // with a client's socket
+}
+
+// stands is an open connection.
+type stands struct {
+	ID     uint64
+	Key    logic.ClientKey
+	Group  logic.GroupID
+	Class  string
+	Server string
+	Load   float64
+	Since  logic.Micros
+	Sent   []logic.Micros
+}
+
+// unasked is a client that has not said all of its first line.
+type unasked struct {
+	Said []byte
+	Came logic.Micros
+}
+
+func (p *Proxy) sayNext(to *succession.Channel, what packet, files ...int) bool {
+	text, err := json.Marshal(what)
+	if err == nil {
+		err = to.Send(text, files...)
+	}
+	if err != nil {
+		p.log.Warn("the other process does not hear", "error", err)
+	}
+	return err == nil
+}
+
+// heirComes notes a process that has come to take this one's place. The last to come counts.
+func (p *Proxy) heirComes(c *succession.Channel) {
+	h := p.heritage
+	if h.heir != nil {
+		h.heir.Close()
+	}
+	h.heir, h.ready = c, false
+	p.log.Info("another process has come")
+	go func() {
+		for {
+			text, files, err := c.Receive()
+			var said packet
+			if err == nil {
+				err = json.Unmarshal(text, &said)
+			}
+			for _, f := range files {
+				_ = f.Close() // it has nothing to pass on
+			}
+			if err != nil {
+				p.post(func() { p.heirGone(c) })
+				return
+			}
+			if said.Ready {
+				p.post(func() { p.heirServes(c) })
+			}
+		}
+	}()
+}
+
+// heirServes leaves the door to the heir: two that place at once would each spend the whole cold budget.
+func (p *Proxy) heirServes(c *succession.Channel) {
+	if h := p.heritage; h.heir == c {
+		h.ready = true
+		p.stopAccepting()
+		p.log.Info("the other process serves")
+	}
+}
+
+// heirGone has this process serve on, or leave as if there had been no other.
+func (p *Proxy) heirGone(c *succession.Channel) {
+	c.Close()
+	h := p.heritage
+	if h.heir != c {
+		return
+	}
+	h.heir, h.ready = nil, false
+	p.log.Warn("the other process has gone")
+	if h.seat != nil { // the name is that one's
+		h.seat.Leave()
+		h.seat = nil
+	}
+	p.accept()
+}
+
+// inherits tells that another process takes over what this one holds.
+func (p *Proxy) inherits() bool { return p.heritage != nil && p.heritage.ready }
+
+// passOnAll hands over what can be handed over now, and comes again for the rest; it ends when nothing is left.
+func (p *Proxy) passOnAll(turn int, sweep logic.Micros) {
+	if p.turn != turn || p.swept == turn {
+		return
+	}
+	if !p.inherits() {
+		p.sweep(turn, sweep)
+		return
+	}
+	for e := p.silent.Front(); e != nil && p.inherits(); {
+		c := e.Value.(*client)
+		e = e.Next()
+		p.passOnSilent(c)
+	}
+	passed := 0
+	for _, c := range p.standing() {
+		if p.inherits() && passed < passing && p.passOnStanding(c) {
+			passed++
+		}
+	}
+	if len(p.clients) == 0 && p.silent.Len() == 0 && p.done.Len() == 0 {
+		p.quit()
+		return
+	}
+	p.after(10*millisecond, func() { p.passOnAll(turn, sweep) })
+}
+
+// passing is how many are handed over in one go. Guards against descriptors that pile up between the two.
+const passing = 32
+
+// passOnStanding hands an open connection over, between two lines and with nothing unsent. Guards against bytes that
+// would be lost or come in another order.
+func (p *Proxy) passOnStanding(c *client) bool {
+	d := c.out
+	if c.conn == nil || d.conn == nil || !d.talk.Between() || c.conn.OutboundBuffered() > 0 || d.conn.OutboundBuffered() > 0 {
+		return false
+	}
+	own, err := c.conn.Dup()
+	if err != nil {
+		return false
+	}
+	defer syscall.Close(own)
+	servers, err := d.conn.Dup()
+	if err != nil {
+		return false
+	}
+	defer syscall.Close(servers)
+	told := packet{Stands: &stands{c.talk.ID, c.talk.Key, c.talk.Group, c.class, d.server.uid, c.figures.Load, c.figures.Since, c.sent}}
+	if !p.sayNext(p.heritage.heir, told, own, servers) {
+		p.heritage.ready = false // it hears nothing: its end will be noticed, and the rest are moved
+		return false
+	}
+	p.unseat(c)
+	p.in.ClientLeft(p.now(), c.id)
+	p.letGo(c.conn)
+	p.letGo(d.conn)
+	return true
+}
+
+func (p *Proxy) passOnSilent(c *client) {
+	if c.conn.OutboundBuffered() > 0 {
+		return
+	}
+	own, err := c.conn.Dup()
+	if err != nil {
+		return
+	}
+	defer syscall.Close(own)
+	if !p.sayNext(p.heritage.heir, packet{Unasked: &unasked{c.talk.Held(), c.came}}, own) {
+		p.heritage.ready = false
+		return
+	}
+	c.leaveQueue()
+	p.release(c)
+	p.letGo(c.conn)
+}
+
+// letGo closes this process's descriptor of a connection that goes on elsewhere.
+func (p *Proxy) letGo(conn gnet.Conn) { _ = p.loop.Close(conn) }
+
+// findPredecessor looks for a process that runs already. It is called before this one can be found in its place.
+func (p *Proxy) findPredecessor() {
+	h := p.heritage
+	if h.folder == "" {
+		return
+	}
+	c, err := succession.Find(h.folder)
+	if err != nil {
+		p.log.Info("no process is found to take over from", "why", err)
+		return
+	}
+	h.before = c
+}
+
+// hearPredecessor hears what it passes on.
+func (p *Proxy) hearPredecessor() {
+	c := p.heritage.before
+	if c == nil {
+		return
+	}
+	go func() {
+		defer c.Close()
+		for {
+			text, files, err := c.Receive()
+			if err != nil {
+				return
+			}
+			var said packet
+			if err := json.Unmarshal(text, &said); err != nil {
+				p.log.Warn("what the other process says means nothing", "error", err)
+			}
+			conns := connections(files)
+			p.post(func() { p.takeOver(said, conns) })
+		}
+	}()
+}
+
+// connections turns descriptors into connections; nil where one is none.
+func connections(files []*os.File) (conns []net.Conn) {
+	for _, f := range files {
+		conn, err := net.FileConn(f)
+		if err != nil {
+			conn = nil
+		}
+		conns = append(conns, conn)
+		_ = f.Close()
+	}
+	return conns
+}
+
+// takeOver takes a connection in that the other process has let go.
+func (p *Proxy) takeOver(said packet, conns []net.Conn) {
+	switch {
+	case said.Unasked != nil && len(conns) == 1 && conns[0] != nil:
+		p.enroll(&client{came: said.Unasked.Came, early: said.Unasked.Said}, conns[0])
+	case said.Stands != nil && len(conns) == 2 && conns[0] != nil && conns[1] != nil:
+		p.seat(said.Stands, conns[0], conns[1])
+	default:
+		for _, conn := range conns {
+			if conn != nil {
+				_ = conn.Close()
+			}
+		}
+	}
+}
+
+// enroll has the loop take a connection whose side is known already.
+func (p *Proxy) enroll(side any, conn net.Conn) {
+	p.sockets++
+	result, err := p.loop.Enroll(gnet.NewContext(context.Background(), side), conn)
+	if err != nil {
+		p.sockets--
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		if r := <-result; r.Err != nil {
+			p.log.Warn("a connection cannot be taken over", "error", r.Err)
+			p.post(func() { p.sockets-- })
+		}
+	}()
+}
+
+// resumed has a client's side of what the other process passed on.
+func (p *Proxy) resumed(c *client, conn gnet.Conn) gnet.Action {
+	c.conn = conn
+	if c.over {
+		return gnet.Close // its server has ended it meanwhile
+	}
+	early := c.early
+	c.early = nil
+	switch {
+	case c.stands:
+		p.serverSays(c.out, early)
+	case !p.room(0):
+		p.refuse(c)
+	default:
+		p.awaitAsking(c)
+		p.clientSays(c, early)
+	}
+	return gnet.None
+}
+
+// serverResumed has a server's side; the client's comes next, so that there is somebody to send its bytes to.
+func (p *Proxy) serverResumed(c *client, conn gnet.Conn) gnet.Action {
+	if c.over {
+		_ = c.passed.Close()
+		return gnet.Close
+	}
+	c.out.conn = conn
+	p.enroll(c, c.passed)
+	c.passed = nil
+	return gnet.None
+}
+
+// seat takes an open connection in, its server's side first.
+func (p *Proxy) seat(s *stands, own, servers net.Conn) {
+	to := p.servers[discovery.ID(s.Server)]
+	if to == nil || p.ids[s.ID] {
+		// Its server is none of the list's: the client comes again, and is told so.
+		_, _ = own.Write(protocol.Leave)
+		_ = own.Close()
+		_ = servers.Close()
+		return
+	}
+	now := p.now()
+	c := &client{class: s.Class, stands: true, sent: s.Sent, came: now, passed: own}
+	c.talk.ID, c.talk.Key, c.talk.Group, c.talk.Product = s.ID, s.Key, s.Group, s.Class
+	c.figures = notes.Conn{Since: s.Since, Load: s.Load}
+	d := &dispatch{client: c, server: to, began: now, until: now, written: true, ending: logic.Reset, hang: func() {}}
+	d.talk.Resume()
+	c.out = d
+	p.lastID++
+	c.id = p.lastID
+	p.ids[s.ID] = true
+	c.at = &logic.Attachment{ID: c.id, Product: p.offers[s.Class].product, Group: s.Group, Key: s.Key, Back: true, Came: now, Limit: now}
+	p.clients[c.id] = c
+	to.standing++
+	p.in.CarriedOver(now, c.at, to.id)
+	if s.Load > 0 {
+		p.in.LoadChanged(now, c.id, s.Load)
+	}
+	p.enroll(d, servers)
+}
