Tests of the replacement; one process alone is at the door

Seen in the log of the first play: the process that had left the door to its heir accepted again at the next answer of the list (accept did not look at h.ready), and a channel that had ended was spoken to. Both mended; seen red: two of the tests hang without the close of the channel at the end, for the old process then never hears that its heir died.

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -171,7 +171,7 @@
 	}
 	p.stop()
 	if p.heritage != nil {
-		close(p.heritage.halt)
+		p.heritage.close()
 		return
 	}
 	// What has been written but not taken by the kernel gets a moment; Stop waits for the loop, so it must
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -98,7 +98,8 @@
 // accept takes connections in until it is told to stop; what comes later waits for whoever accepts next.
 func (p *Proxy) accept() {
 	h := p.heritage
-	if h == nil || h.accepting || p.duty == leaving || !p.ready {
+	// Guards against two at the door: each answer of the list comes here.
+	if h == nil || h.accepting || h.ready || p.duty == leaving || !p.ready {
 		return
 	}
 	h.accepting = true
@@ -140,6 +141,20 @@
 	}
 }
 
+// close gives back all that belongs to the succession, and has Run end.
+func (h *heritage) close() {
+	_ = h.listener.Close()
+	if h.seat != nil {
+		h.seat.Leave()
+	}
+	for _, c := range []*succession.Channel{h.before, h.heir} {
+		if c != nil {
+			c.Close()
+		}
+	}
+	close(h.halt)
+}
+
 // packet is what the two processes tell each other, one thing in each.
 type packet struct {
 	Ready   bool     `json:",omitempty"` // from the heir: it can serve
@@ -338,6 +353,7 @@
 		for {
 			text, files, err := c.Receive()
 			if err != nil {
+				p.post(func() { p.heritage.before = nil })
 				return
 			}
 			var said packet
--- /dev/null
+++ b/internal/proxy/succeed_test.go
@@ -0,0 +1,187 @@
+package proxy_test
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/discovery"
+	"hatchproxy/internal/opening"
+	"hatchproxy/internal/proxy"
+	"hatchproxy/lab/fleet"
+	"hatchproxy/logic"
+)
+
+// house is where processes that replace each other run: one listening socket, one folder, one list.
+type house struct {
+	*testing.T
+	socket *net.TCPListener
+	folder string
+	list   *fleet.Hand
+	server *fleet.Puppet
+}
+
+func newHouse(t *testing.T) *house {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.4.0.1:0")
+	require.NoError(t, err)
+	folder, err := os.MkdirTemp("", "hs")
+	require.NoError(t, err)
+	list, err := fleet.ByHand()
+	require.NoError(t, err)
+	server, err := fleet.NewPuppet(func(line string) string {
+		if strings.Contains(line, "x=1") {
+			return "NONE"
+		}
+		return "UP a"
+	})
+	require.NoError(t, err)
+	list.Set("s0", server.Address, "ready")
+	h := &house{t, l.(*net.TCPListener), folder, list, server}
+	t.Cleanup(func() {
+		_ = l.Close()
+		_ = os.RemoveAll(folder)
+	})
+	return h
+}
+
+// start runs one more process, and waits until it can serve.
+func (h *house) start() *stage {
+	raw, err := h.socket.SyscallConn()
+	require.NoError(h, err)
+	fd := -1 // the proxy's own from here on, as one that a process inherits
+	require.NoError(h, raw.Control(func(socket uintptr) { fd, err = syscall.Dup(int(socket)) }))
+	require.NoError(h, err)
+	b, err := opening.Lines(unprobed).Balancer(7)
+	require.NoError(h, err)
+	p := proxy.New(slog.New(slog.DiscardHandler), b, h.socket.Addr().String(), discovery.At(h.list.Address(), time.Second), nil,
+		[]string{"chat", "pay"}, []logic.Micros{1500 * logic.Millisecond, 1500 * logic.Millisecond}, []string{"a"}, []string{"m"},
+		250*logic.Millisecond, 50*logic.Millisecond, 1024)
+	p.Tell()
+	require.NoError(h, p.Inherit(fd, h.folder))
+	s := &stage{T: h.T, listen: h.socket.Addr().String(), list: h.list, leave: make(chan os.Signal, 1), ended: make(chan error, 1), proxy: p}
+	go func() { s.ended <- p.Run(s.leave, nil, nil) }()
+	h.eventually(func() bool { f := p.Figures(); return f != nil && f.Ready })
+	return s
+}
+
+func (h *house) eventually(holds func() bool) {
+	h.Helper()
+	require.Eventually(h, holds, 5*time.Second, 10*time.Millisecond)
+}
+
+// current waits until a process holds so many.
+func (s *stage) current(n int) {
+	s.Helper()
+	require.Eventually(s, func() bool { return s.proxy.Figures().Current == n }, 5*time.Second, 10*time.Millisecond)
+}
+
+// ends waits until a process has ended in good order.
+func (s *stage) endsWithin(span time.Duration) {
+	s.Helper()
+	select {
+	case err := <-s.ended:
+		require.NoError(s, err)
+	case <-time.After(span):
+		require.Fail(s, "it never ended")
+	}
+}
+
+func TestConnectionsGoOnInTheNextProcess(t *testing.T) {
+	h := newHouse(t)
+	first := h.start()
+	c, ended := first.open("c=chat,d=1500"), first.open("c=pay,d=1500")
+	c.hears("UP a")
+	ended.hears("UP a")
+	half := first.call("OPEN 77 7 c=ch")
+	asks := first.call("PING\r\n")
+	asks.hears("PONG")
+	for range 3 { // one replacement after the other
+		second := h.start()
+		first.leave <- syscall.SIGTERM
+		first.endsWithin(time.Second)
+		second.current(2)
+		c.says("M 1\r\n")
+		c.hears("M 1")
+		asks.says("PING\r\n")
+		asks.hears("PONG")
+		first = second
+	}
+	require.Equal(t, 2, h.server.Conns(), "no dispatch was made for them again")
+	half.says("at,d=1500\r\n")
+	half.hears("UP a")
+	fleet.Reset(ended.Conn)
+	first.current(2)
+	require.NoError(t, h.server.Last().Close())
+	half.ends(false)
+	first.open("c=chat,d=1500").hears("UP a")
+}
+
+func TestWhatIsPendingStaysAndIsPassedOnOnceItStands(t *testing.T) {
+	h := newHouse(t)
+	first := h.start()
+	never, harmless := first.open("x=1,c=pay,d=1000"), first.open("x=1,c=chat,d=700")
+	first.current(2)
+	h.start()
+	first.leave <- syscall.SIGTERM
+	harmless.hears("BUSY")
+	never.hears("ERR")
+	first.endsWithin(3 * time.Second)
+	var lines []string
+	for _, line := range h.server.Lines() {
+		if strings.Contains(line, "c=pay") {
+			lines = append(lines, line)
+		}
+	}
+	require.Len(t, lines, 1, "once only, whoever answers for it")
+}
+
+func TestTheOldProcessServesOnWhenTheNewOneDies(t *testing.T) {
+	h := newHouse(t)
+	first := h.start()
+	c := first.open("c=chat,d=1500")
+	c.hears("UP a")
+	second := h.start()
+	second.leave <- syscall.SIGTERM // it fails a moment after it could serve
+	second.endsWithin(3 * time.Second)
+	var held []*caller
+	for range 5 {
+		held = append(held, first.open("c=chat,d=1500"))
+		held[len(held)-1].hears("UP a")
+	}
+	first.current(6)
+	third := h.start() // finds the first again
+	first.leave <- syscall.SIGTERM
+	first.endsWithin(time.Second)
+	third.current(6)
+	for _, c := range append(held, c) {
+		c.says("M 1\r\n")
+		c.hears("M 1")
+	}
+}
+
+func TestWithoutTheFolderClientsAreMoved(t *testing.T) {
+	h := newHouse(t)
+	h.folder = ""
+	first := h.start()
+	c := first.open("c=chat,d=1500")
+	c.hears("UP a")
+	second := h.start()
+	first.leave <- syscall.SIGTERM
+	c.hears("MOVE")
+	c.ends(false)
+	first.endsWithin(3 * time.Second)
+	second.open("c=chat,d=1500").hears("UP a")
+}
+
+func TestADescriptorThatDoesNotListenIsAClearError(t *testing.T) {
+	fd, err := syscall.Open(os.DevNull, syscall.O_RDONLY, 0)
+	require.NoError(t, err)
+	require.ErrorContains(t, new(proxy.Proxy).Inherit(fd, ""), "descriptor ")
+}
