The heir is told what the old process knows of servers, and that it evacuates

Seen in the logs: crowded: true after each replacement, and a cold server's spent budget forgotten. Balancer.Recall and Remember carry it over the channel when the heir serves.

--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -160,8 +160,14 @@
 	Ready   bool     `json:",omitempty"` // from the heir: it can serve
 	Stands  *stands  `json:",omitempty"` // with a client's socket and its server's
 	Unasked *unasked `json:",omitempty"` // with a client's socket
+
+	Memory     *logic.Memory `json:",omitempty"` // a part of what the decisions know; the last part has the rest of it
+	Evacuating bool          `json:",omitempty"` // clients are being sent away
 }
 
+// part is how many servers a packet tells of: some 300 bytes each.
+const part = 40
+
 // stands is an open connection.
 type stands struct {
 	ID     uint64
@@ -226,6 +232,16 @@
 		h.ready = true
 		p.stopAccepting()
 		p.log.Info("the other process serves")
+		all := p.in.Recall()
+		for rest := all.Servers; ; rest = rest[len(all.Servers):] {
+			all.Servers = rest[:min(part, len(rest))]
+			if !p.sayNext(c, packet{Memory: &all}) || len(all.Servers) == len(rest) {
+				break
+			}
+		}
+		if p.duty == evacuating {
+			p.sayNext(c, packet{Evacuating: true})
+		}
 	}
 }
 
@@ -382,6 +398,10 @@
 // takeOver takes a connection in that the other process has let go.
 func (p *Proxy) takeOver(said packet, conns []net.Conn) {
 	switch {
+	case said.Memory != nil:
+		p.in.Remember(*said.Memory)
+	case said.Evacuating:
+		p.evacuate()
 	case said.Unasked != nil && len(conns) == 1 && conns[0] != nil:
 		p.enroll(&client{came: said.Unasked.Came, early: said.Unasked.Said}, conns[0])
 	case said.Stands != nil && len(conns) == 2 && conns[0] != nil && conns[1] != nil:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -96,19 +96,16 @@
 }
 
 // pace follows a quantity's mean and mean deviation.
-type pace struct {
-	mean, spread float64
-	seen         bool
-}
+type pace Follow
 
 // add weighs a new sample with 1/8 and its deviation with 1/4, as TCP's timer does.
 func (p *pace) add(x float64) {
-	if !p.seen {
-		p.mean, p.spread, p.seen = x, x/2, true
+	if !p.Seen {
+		p.Mean, p.Spread, p.Seen = x, x/2, true
 		return
 	}
-	p.spread += (math.Abs(x-p.mean) - p.spread) / 4
-	p.mean += (x - p.mean) / 8
+	p.Spread += (math.Abs(x-p.Mean) - p.Spread) / 4
+	p.Mean += (x - p.Mean) / 8
 }
 
 // New starts an instance. Each part brings its own few figures.
@@ -258,10 +255,10 @@
 	if level <= 0 && a.Back {
 		return 2 // the heaviest are moved first and tip servers; three did as well, one let them in again
 	}
-	if level <= 0 || !b.unit.seen || b.unit.mean <= 0 {
+	if level <= 0 || !b.unit.Seen || b.unit.Mean <= 0 {
 		return 1
 	}
-	return min(max(level/b.unit.mean, 0.1), 10) // a hint is rough, and a mean of few is rougher
+	return min(max(level/b.unit.Mean, 0.1), 10) // a hint is rough, and a mean of few is rougher
 }
 
 // groupUnits is how much fuller a server counts that holds none of the group; the cost is told nowhere.
@@ -524,7 +521,7 @@
 	if p.Repeat == OneShot || a.sends >= p.Dispatches || len(b.failing) > 0 || now-b.stood > stoodLately {
 		return left
 	}
-	usual := Micros(b.setup.mean + 4*b.setup.spread)
+	usual := Micros(b.setup.Mean + 4*b.setup.Spread)
 	return min(left, max(usual, p.Quoted*2/5))
 }
 
@@ -749,6 +746,45 @@
 	return q
 }
 
+// Recall tells what is known, for the instance that takes this one's place.
+func (b *Balancer) Recall() Memory {
+	m := Memory{Setup: Follow(b.setup), Unit: Follow(b.unit), Crowd: b.crowd, Home: b.home, Rate: b.rate,
+		Stood: b.stood, Failing: slices.Clone(b.failing)}
+	for _, s := range b.servers {
+		known := ServerMemory{ID: s.id, Launched: s.launched, Tries: s.tries, Fails: s.fails,
+			Pace: s.pace, Shunned: s.shunned, Delay: s.delay, DelayAt: s.delayAt,
+			ProbeAt: s.probeAt, Quick: s.quick, Probed: s.probed,
+			Drawn: s.drawn, Falling: s.falling, Chance: s.chance}
+		for _, r := range s.recent {
+			known.SentAt, known.SentUnits = append(known.SentAt, r.at), append(known.SentUnits, r.units)
+		}
+		m.Servers = append(m.Servers, known)
+	}
+	return m
+}
+
+// Remember takes over what the instance before knew. Servers that no list has named here, or that have
+// started again since, are no longer those that it knew.
+func (b *Balancer) Remember(m Memory) {
+	b.setup, b.unit = pace(m.Setup), pace(m.Unit)
+	b.crowd, b.home, b.rate, b.stood, b.failing = m.Crowd, m.Home, m.Rate, m.Stood, m.Failing
+	for _, k := range m.Servers {
+		s := b.byID[k.ID]
+		if s == nil || s.launched != k.Launched {
+			continue
+		}
+		s.tries, s.fails = s.tries+k.Tries, s.fails+k.Fails
+		s.pace, s.shunned = min(s.pace, k.Pace), max(s.shunned, k.Shunned)
+		s.delay, s.delayAt, s.falling = k.Delay, k.DelayAt, k.Falling
+		s.probeAt, s.quick, s.probed, s.chance, s.drawn = k.ProbeAt, k.Quick, k.Probed, k.Chance, k.Drawn
+		var spent []sent // what the one before has spent comes first: it is older
+		for i, at := range k.SentAt[:min(len(k.SentAt), len(k.SentUnits))] {
+			spent = append(spent, sent{at, k.SentUnits[i]})
+		}
+		s.recent = append(spent, s.recent...)
+	}
+}
+
 // ---- judging
 
 // failed books a failure and passes over a server whose share of failures is far above the median.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -542,6 +542,50 @@
 	}
 }
 
+func TestWhoTakesAnInstancesPlaceKnowsWhatItKnew(t *testing.T) {
+	old := open(t, 4)
+	old.fill(8)
+	old.late(400*ms, 3, 2)
+	old.tell(3, logic.Ready, old.now-sec) // cold
+	old.ListDone(old.now, true)
+	for range 4 {
+		old.place()
+	}
+	bad := old.arrive(0)
+	id := old.send(bad).Server
+	old.After(old.now, bad, logic.Reset, true)
+	told := old.Recall()
+
+	heir := open(t, 4)
+	heir.now = old.now
+	heir.tell(3, logic.Ready, old.now-sec)
+	heir.tell(4, logic.Ready, old.now) // has started again: another server than the one that was known
+	heir.ListDone(heir.now, true)
+	told.Servers = append(told.Servers, logic.ServerMemory{ID: 99}) // in no list here
+	heir.Remember(told)
+	for _, server := range []logic.ServerID{1, 2, 3} {
+		was, _ := old.See(old.now, server)
+		is, _ := heir.See(heir.now, server)
+		require.Equal(t, []any{was.Late, was.Pace, was.Failures, was.Shunned}, []any{is.Late, is.Pace, is.Failures, is.Shunned}, "server %d", server)
+	}
+	is, _ := heir.See(heir.now, id)
+	require.NotZero(t, is.Shunned, "passed over until the same moment")
+	is, _ = heir.See(heir.now, 2)
+	require.Less(t, is.Pace, 1.0)
+	is, _ = heir.See(heir.now, 4)
+	require.False(t, is.Late)
+	sent := func(f *fake) (n int) {
+		for _, s := range f.Recall().Servers {
+			if s.ID == 3 {
+				return len(s.SentAt)
+			}
+		}
+		return 0
+	}
+	require.NotZero(t, sent(old))
+	require.Equal(t, sent(old), sent(heir), "the cold budget is one")
+}
+
 func ids(as []*logic.Attachment) []logic.AttachmentID {
 	var out []logic.AttachmentID
 	for _, a := range as {
--- a/logic/types.go
+++ b/logic/types.go
@@ -94,6 +94,34 @@
 	Probes     bool   // servers may be probed, and nothing else tells of late messages
 }
 
+// Memory is what an instance knows, for the one that takes its place on the same clock.
+type Memory struct {
+	Servers           []ServerMemory
+	Setup, Unit       Follow
+	Crowd, Home, Rate float64
+	Stood             Micros
+	Failing           []ServerID
+}
+
+// Follow is a followed quantity's mean and mean deviation; Seen is false where there is none yet.
+type Follow struct {
+	Mean, Spread float64
+	Seen         bool
+}
+
+// ServerMemory is what is known of one server.
+type ServerMemory struct {
+	ID                            ServerID
+	Launched                      Micros
+	Tries, Fails, Pace            float64
+	Shunned, Delay, DelayAt       Micros
+	ProbeAt, Quick, Probed, Drawn Micros
+	Falling                       bool
+	Chance                        float64
+	SentAt                        []Micros // while cold
+	SentUnits                     []float64
+}
+
 // Verdict is what is to be done with an attachment.
 type Verdict uint8
 
