--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -30,7 +30,8 @@
 	// leastSpread is for products with very short limits.
 	leastSpread = 300 * millisecond
 	// A proxy that sends its clients away must have moved them all within 4 s: what stands goes within the first
-	// second (over 2.25 s it cost 0.04 of G, within half a second it brought no more), and what is still pending is settled in time for its client to be moved.
+	// second (over 2.25 s it cost 0.04 of G, within half a second it brought no more), and what is still pending is
+	// settled in time for its client to be moved.
 	emptying   = 250 * millisecond
 	emptiedBy  = 1000 * millisecond
 	settlingBy = 3400 * millisecond
