A slow way is told from slow servers by the zone that shares it

Ruled out: slow servers (well for their neighbours), failures (5 set-ups in 20 s), a crowd (the own zones are well).

At fault: pick counts a late server one connection fuller only, Delay takes a tenth to a third off its pace for a minute, measure counts it for a crowd, whoever's fault the lateness is.

Hurts where most of a zone are slow by themselves.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	setup, unit  pace    // time of a set-up; load of a connection, microseconds a second
 	crowd        float64 // share of the known servers that are late or passed over, at most; wearing off
 	home         float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
+	ways         []way   // to the zones, by their numbers
 	worth        float64 // mean gain of a unit of load
 	told         [2]bool
 	rate, placed float64
@@ -56,6 +57,9 @@
 // kind sums up what is known of the servers of a model.
 type kind struct{ paces, servers float64 }
 
+// way sums up how the servers of a zone look from here.
+type way struct{ all, bad, slow float64 }
+
 // following is the state of the calls for the list.
 type following struct {
 	whole, asking, on bool // a whole list is being told; a call is out; the subscription stands
@@ -280,6 +284,28 @@
 // ill servers are passed over while another may be had; mayTake tells what may be sent to at all.
 func (s *server) ill(now Micros) bool { return s.shunned > now || s.stuck(now) }
 
+// far tells that the way to a server's zone is slow or loses much.
+func (b *Balancer) far(s *server) bool {
+	return s.zone != b.zone && int(s.zone) < len(b.ways) && b.ways[s.zone].slow > 0.5
+}
+
+// judgeWays guards against a slow or lossy way that is taken for many slow servers: most of a zone look bad
+// from here, and those of the own zone do not. It is forgotten within some 2 s of the last sign, and tried
+// again. It hurts where most of a zone are slow by themselves and would still have been the best to be had.
+func (b *Balancer) judgeWays() {
+	if int(b.zone) >= len(b.ways) {
+		return
+	}
+	own := b.ways[b.zone]
+	for i := range b.ways {
+		w := &b.ways[i]
+		w.slow *= 0.93
+		if ZoneID(i) != b.zone && w.all >= 2 && w.bad/(w.all+1) > own.bad/(own.all+1)+0.4 {
+			w.slow = 1
+		}
+	}
+}
+
 // pick scans from the rotating start for the least load per size, the newcomer's included.
 func (b *Balancer) pick(now Micros, a *Attachment) *server {
 	n := len(b.servers)
@@ -288,7 +314,7 @@
 	for i := range n {
 		s := b.servers[(b.next+i)%n]
 		// Guards against clients sent off a late server and back to it: it is most often their group's home.
-		ill := s.ill(now) || s == a.last || a.Back && s.late(now)
+		ill := s.ill(now) || s == a.last || a.Back && s.late(now) || b.far(s)
 		if !b.mayTake(now, s, a) || best != nil && ill && !bestIll {
 			continue
 		}
@@ -452,17 +478,20 @@
 	for _, k := range b.models {
 		*k = kind{}
 	}
-	var all, bad, own, ownBad, gain, units float64
+	for i := range b.ways {
+		b.ways[i].all, b.ways[i].bad = 0, 0
+	}
+	var gain, units float64
 	for _, s := range b.servers {
 		trouble := 0.0
 		if s.late(now) || s.shunned > now {
 			trouble = 1
 		}
 		if s.state == Ready && (trouble > 0 || len(s.standing) > 0) {
-			all, bad = all+1, bad+trouble
-			if s.zone == b.zone {
-				own, ownBad = own+1, ownBad+trouble
+			for int(s.zone) >= len(b.ways) {
+				b.ways = append(b.ways, way{})
 			}
+			b.ways[s.zone].all, b.ways[s.zone].bad = b.ways[s.zone].all+1, b.ways[s.zone].bad+trouble
 		}
 		if len(s.standing) > 0 || s.pace < 1 {
 			s.kin.paces, s.kin.servers = s.kin.paces+s.pace, s.kin.servers+1
@@ -472,6 +501,16 @@
 			units += a.units
 		}
 	}
+	b.judgeWays()
+	var all, bad, own, ownBad float64
+	for i, w := range b.ways {
+		if ZoneID(i) == b.zone {
+			own, ownBad = w.all, w.bad
+		}
+		if w.slow <= 0.5 { // what is bad about a way is no sign of a crowd
+			all, bad = all+w.all, bad+w.bad
+		}
+	}
 	b.crowd = max(min(bad-1, 1)*bad/(all+2), b.crowd*0.92) // one is no crowd, however few are known
 	b.home = max(min(1, 4*ownBad/(own+2)), b.home*0.98)
 	if units > 0 {
@@ -700,6 +739,9 @@
 		return // a third of the quoted time is the lateness that is told of
 	}
 	s.delay = took
+	if b.far(s) {
+		return // the way's doing: a pace wears off over a minute
+	}
 	// Guards against unlike servers behind equal weights and those that slow down.
 	s.pace = max(slowest, s.pace*(1-learning[b.weighing]*min(float64(took)/float64(b.quickest()), 4)))
 }
@@ -845,6 +887,8 @@
 		var a *Attachment
 		rate := 0.0
 		switch {
+		case len(s.standing) > 0 && b.far(s) && b.home < 0.5:
+			a, rate = s.standing[0], 0.5*float64(len(s.standing))
 		case s.late(now) && !s.falling && s.delay >= from:
 			// 8% a second of the own load where messages are just late, 32% where they take four times as
 			// long: half of it left slow servers full, half as much again swung the load of small fleets.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -542,6 +542,57 @@
 	}
 }
 
+func TestASlowWayIsToldFromSlowServers(t *testing.T) {
+	f := open(t, 4)
+	zone := map[logic.ServerID]logic.ZoneID{1: 0, 2: 0, 3: 0, 4: 0, 5: 1, 6: 1, 7: 1, 8: 1, 9: 2, 10: 2, 11: 2, 12: 2}
+	f.Retune(logic.New(1, 0, 1, 0, []logic.Product{status}, logic.ByNominalSize, logic.Listing{}, logic.ColdRule{},
+		logic.Leave{Dispatches: 5, Advice: sec}, 0.01, 0.02)) // crossings cost next to nothing: all zones are used
+	for id := logic.ServerID(5); id <= 12; id++ {
+		f.Listed(f.now, id, zone[id], 0, logic.CellID(id), logic.Ready, 1, 0)
+	}
+	f.ListDone(f.now, true)
+	on := f.fill(48)
+	across := len(on[5]) + len(on[6]) + len(on[7]) + len(on[8])
+	require.Greater(t, across, 6)
+	f.errand = nil
+	f.late(800*ms, 2, 5, 6, 7, 8)
+	for range 24 {
+		a := f.arrive(0)
+		require.NotEqual(t, logic.ZoneID(1), zone[f.send(a).Server], "the way there is slow")
+		f.Stands(f.now, a)
+	}
+	heavy := f.arrive(0)
+	heavy.Hint = 1e9
+	require.Equal(t, logic.Send, f.Where(f.now, heavy).Verdict, "a slow way is no crowd")
+	f.late(800*ms, 4, 5, 6, 7, 8)
+	require.Greater(t, f.count(logic.Move), across*2/3, "those there come home")
+	f.pass(15 * sec)
+	back := 0
+	for range 48 {
+		if _, id := f.place(); zone[id] == 1 {
+			back++
+		}
+	}
+	require.Positive(t, back, "it is tried again")
+}
+
+func TestOneLateServerIsNoSlowWay(t *testing.T) {
+	f := open(t, 3)
+	for id := logic.ServerID(5); id <= 8; id++ {
+		f.Listed(f.now, id, 1, 0, logic.CellID(id), logic.Ready, 1, 0)
+	}
+	f.ListDone(f.now, true)
+	f.late(200*ms, 2, 1, 2, 3) // the own zone is late: crossings pay
+	f.late(200*ms, 1, 5)
+	across := 0
+	for range 12 {
+		if _, id := f.place(); id > 5 {
+			across++
+		}
+	}
+	require.Positive(t, across)
+}
+
 func TestWhoTakesAnInstancesPlaceKnowsWhatItKnew(t *testing.T) {
 	old := open(t, 4)
 	old.fill(8)
