Where only draining binds, a gone server is the last resort and keeps its clients

The adapter and the real proxy read invariants.only-draining-binds, blend.nines and blend.nines-wanted; absent means as before, another type or a figure below 0 is an error that names the key. The goal's parts decide nothing.

Such a server, unless it was listed as draining, now counts as ill: taken when nothing else may be, and its clients stay until they break.

--- a/internal/opening/book.go
+++ b/internal/opening/book.go
@@ -51,6 +51,17 @@
 	return found, nil
 }
 
+// yes reads a yes or no; an absent one is no.
+func (p Book) yes(path string) (bool, error) {
+	switch p[path] {
+	case "true":
+		return true, nil
+	case "", "false":
+		return false, nil
+	}
+	return false, fmt.Errorf("%s: %.40q is neither true nor false", path, p[path])
+}
+
 func (p Book) row(path string) []string {
 	if p[path] == "" {
 		return nil
@@ -112,6 +123,18 @@
 	if err != nil {
 		return nil, err
 	}
+	// The goal's parts weigh nothing here that is not weighed already; what is no number is an error all the same.
+	goal, err := p.numbers("blend.nines", "blend.nines-wanted")
+	if err != nil {
+		return nil, err
+	}
+	if min(goal[0], goal[1]) < 0 {
+		return nil, fmt.Errorf("blend.nines, blend.nines-wanted: %g, %g: below 0", goal[0], goal[1])
+	}
+	unproven, err := p.yes("invariants.only-draining-binds")
+	if err != nil {
+		return nil, err
+	}
 	leave := logic.Leave{Dispatches: int(f[7]), Through: p["family-info.mode"] == "pass",
 		Probes: p["limits.probes"] == "true" && p["family-info.tells-delay"] != "true" &&
 			p["family-info.message-aim-ms"] != ""}
@@ -119,7 +142,7 @@
 		leave.Advice = Millis(f[9])
 	}
 	return logic.New(int64(seed), int(f[0]), int(f[10]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
-		logic.Listing{Subscribe: p["membership-mode"] == "subscribe", Within: Millis(f[2])},
+		logic.Listing{Subscribe: p["membership-mode"] == "subscribe", Within: Millis(f[2]), Unproven: unproven},
 		logic.ColdRule{Start: f[3], Warm: Millis(f[4]), Multiple: f[5], Window: Millis(f[6])}, leave, f[8], f[11]), nil
 }
 
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -85,6 +85,20 @@
 	}
 }
 
+func TestSettingsOfLaterDeploymentsAreReadOrNamed(t *testing.T) {
+	text := "products.count=1\nproducts.0.name=chat\nlimits.max-dispatches=3\nblend.nines=0.2\nblend.nines-wanted=2\ninvariants.only-draining-binds=true\n"
+	_, err := opening.Lines(text).Balancer(1)
+	require.NoError(t, err)
+	for words, change := range map[string][2]string{
+		"blend.nines-wanted: ": {"wanted=2", "wanted=two"},
+		"below 0":              {"nines=0.2", "nines=-1"},
+		`only-draining-binds: "1" is neither true`: {"binds=true", "binds=1"},
+	} {
+		_, err := opening.Lines(strings.Replace(text, change[0], change[1], 1)).Balancer(1)
+		require.ErrorContains(t, err, words)
+	}
+}
+
 const full = `{"name":"n3","listen":"127.0.0.4:8081","discovery":"127.2.0.1:8500","seed":"8c","admin_addr":"127.0.0.4:1",
 "limits":{"cores":1.0,"memory_mb":64,"sockets":4096},"known":{"rev":41,"all":true,"targets":[]},
 "settings":{"localities":["a"],"models":["m"],"limits":{"max-dispatches":6,"dial-timeout-ms":250.0},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -76,6 +76,7 @@
 	weight   float64
 	launched Micros
 	listed   bool
+	bound    bool // it was listed as draining since it was ready last
 
 	standing []*Attachment
 	waiting  []*Attachment // dispatches out, oldest first
@@ -181,9 +182,15 @@
 		s.tries, s.fails, s.shunned, s.chance = 0, 0, 0, b.rng.Float64()
 		b.startAtMean(s)
 	}
+	s.bound = state == Draining || s.bound && state != Ready
 	s.state, s.launched = state, launched
 }
 
+// open tells that the list does not forbid a server: where it proves nothing, one that did not drain may be up.
+func (b *Balancer) open(s *server) bool {
+	return s.state == Ready || b.list.Unproven && s.state == Gone && !s.bound
+}
+
 // startAtMean guards against a newcomer drawing every attachment: it starts at the others' mean.
 func (b *Balancer) startAtMean(new *server) {
 	var units, size float64
@@ -278,7 +285,7 @@
 }
 
 func (b *Balancer) mayTake(now Micros, s *server, a *Attachment) bool {
-	return s.state == Ready && b.mayGo(now, s, a) && b.warmEnough(now, s, a)
+	return b.open(s) && b.mayGo(now, s, a) && b.warmEnough(now, s, a)
 }
 
 // ill servers are passed over while another may be had; mayTake tells what may be sent to at all.
@@ -314,7 +321,7 @@
 	for i := range n {
 		s := b.servers[(b.next+i)%n]
 		// Guards against clients sent off a late server and back to it: it is most often their group's home.
-		ill := s.ill(now) || s == a.last || a.Back && s.late(now) || b.far(s)
+		ill := s.ill(now) || s == a.last || a.Back && s.late(now) || b.far(s) || s.state != Ready
 		if !b.mayTake(now, s, a) || best != nil && ill && !bestIll {
 			continue
 		}
@@ -877,7 +884,7 @@
 		from = b.quickest() * 2 / 3
 	}
 	for _, s := range b.servers {
-		if s.state != Ready {
+		if !b.open(s) {
 			// Guards against clients cut off when their server stops: within some 2 s, and spread.
 			for _, a := range s.standing[:(len(s.standing)+3)/4] {
 				b.errands = append(b.errands, Errand{Task: Move, Attachment: a.ID})
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -542,6 +542,35 @@
 	}
 }
 
+func TestWhereOnlyDrainingBindsAGoneServerIsTheLastResort(t *testing.T) {
+	for _, unproven := range []bool{true, false} {
+		f := open(t, 3)
+		f.Retune(logic.New(1, 0, 1, 0, []logic.Product{status}, logic.ByNominalSize, logic.Listing{Unproven: unproven}, logic.ColdRule{},
+			logic.Leave{Dispatches: 5, Advice: sec}, 0.01, 0.02))
+		on := f.fill(12)
+		f.tell(1, logic.Gone, 0)
+		f.tell(2, logic.Draining, 0)
+		f.ListDone(f.now, false)
+		for range 6 {
+			_, id := f.place()
+			require.Equal(t, logic.ServerID(3), id, "one that is listed as ready goes first")
+		}
+		f.errand = nil
+		f.pass(4 * sec)
+		moved := slices.ContainsFunc(f.errand, func(e logic.Errand) bool { return e.Attachment == on[1][0].ID })
+		require.Equal(t, !unproven, moved, "who stands at a gone server stays where the list proves nothing")
+		f.tell(2, logic.Gone, 0) // it drained before: that binds
+		f.tell(3, logic.Draining, 0)
+		f.ListDone(f.now, false)
+		ans := f.Where(f.now, f.arrive(0))
+		if unproven {
+			require.Equal(t, logic.ServerID(1), ans.Server)
+		} else {
+			require.Equal(t, logic.NotYet, ans.Verdict)
+		}
+	}
+}
+
 func TestASlowWayIsToldFromSlowServers(t *testing.T) {
 	f := open(t, 4)
 	zone := map[logic.ServerID]logic.ZoneID{1: 0, 2: 0, 3: 0, 4: 0, 5: 1, 6: 1, 7: 1, 8: 1, 9: 2, 10: 2, 11: 2, 12: 2}
--- a/logic/types.go
+++ b/logic/types.go
@@ -77,6 +77,7 @@
 type Listing struct {
 	Subscribe bool
 	Within    Micros
+	Unproven  bool // only draining binds: a server that is listed as gone, or left out, may be up all the same
 }
 
 // ColdRule is the rule on servers that have just started: their capacity then, as a share, when they are
