A server that answers again after two failed set-ups counts as cold

After two set-ups in a row that failed without being turned away, what stands next starts the cold rule and the others' mean.

It holds against any return from where nothing was answered, and hurts a proxy whose way to a well server was broken: it is paced there for the warm-up.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -76,7 +76,9 @@
 	weight   float64
 	launched Micros
 	listed   bool
-	bound    bool // it was listed as draining since it was ready last
+	returned Micros // when it was last seen to have come back from where it answered nothing
+	misses   int    // set-ups that failed there since one stood
+	bound    bool   // it was listed as draining since it was ready last
 
 	standing []*Attachment
 	waiting  []*Attachment // dispatches out, oldest first
@@ -356,7 +358,7 @@
 	if s.late(now) {
 		u++ // one more connection's worth; three, or none, did worse on fleets of all sizes
 	}
-	if a.Back && b.held <= few && len(s.standing) == 0 && (s.launched == 0 || now-s.launched >= b.cold.Warm) {
+	if a.Back && b.held <= few && len(s.standing) == 0 && !b.isCold(now, s) {
 		// Guards against clients sent off a late server by one proxy and back to it by all the others, which have
 		// heard nothing of it: a server where one's own connections stand well is known to be well.
 		u += unheard
@@ -382,12 +384,19 @@
 	return float64((x^x>>31)>>11) / (1 << 53)
 }
 
+// started is when a server last began from cold, as the list says or as it was seen to.
+func (s *server) started() Micros { return max(s.launched, s.returned) }
+
+func (b *Balancer) isCold(now Micros, s *server) bool {
+	return s.started() != 0 && now-s.started() < b.cold.Warm
+}
+
 // warmEnough keeps the own part of the budget of a server that has just started.
 func (b *Balancer) warmEnough(now Micros, s *server, a *Attachment) bool {
-	age := now - s.launched
-	if s.launched == 0 || age >= b.cold.Warm {
+	if !b.isCold(now, s) {
 		return true
 	}
+	age := now - s.started()
 	spent := 0.0
 	for len(s.recent) > 0 && now-s.recent[0].at > b.cold.Window {
 		s.recent = s.recent[1:]
@@ -582,6 +591,9 @@
 	}
 	if o != OK && o != Cancelled && o != Moot {
 		b.failed(now, s, a, o)
+		if !stood && o != Full {
+			s.misses++
+		}
 	}
 	if stood && o == Reset {
 		b.placed -= a.units // what is dropped again is no sign of what a server can bear
@@ -638,7 +650,7 @@
 		s.groups[a.Group]++
 		b.members[a.Group]++
 	}
-	if s.launched != 0 && now-s.launched < b.cold.Warm {
+	if b.isCold(now, s) {
 		s.recent = append(s.recent, sent{now, a.units})
 		s.chance = b.rng.Float64()
 	}
@@ -682,6 +694,11 @@
 		return
 	}
 	b.settle(s, a)
+	if s.misses >= down {
+		s.returned = now
+		b.startAtMean(s)
+	}
+	s.misses = 0
 	b.stand(s, a)
 	b.setup.add(float64(now - a.sentAt))
 	b.placed, b.stood = b.placed+a.units, now
@@ -836,6 +853,10 @@
 
 // ---- judging
 
+// down is how many set-ups in a row say that a server was gone; what stands after them finds it cold. Guards
+// against all proxies filling one that has just come back, also where the list says nothing of it.
+const down = 2
+
 // failed books a failure and passes over a server whose share of failures is far above the median.
 func (b *Balancer) failed(now Micros, s *server, a *Attachment, o Outcome) {
 	s.tries, s.fails = s.tries+1, s.fails+1
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -571,6 +571,35 @@
 	}
 }
 
+func TestAServerThatAnswersAgainCountsAsCold(t *testing.T) {
+	f := open(t, 3)
+	f.fill(30)
+	f.pass(10 * sec)
+	down := f.arrive(0)
+	id := f.send(down).Server
+	for range 2 { // nothing in the list says so
+		f.After(f.now, down, logic.NoConnection, true)
+		f.pass(4 * sec)
+		down = f.arrive(0)
+		for f.send(down).Server != id {
+			f.Stands(f.now, down)
+			down = f.arrive(0)
+		}
+	}
+	seen, _ := f.See(f.now, id)
+	require.False(t, seen.Cold)
+	f.Stands(f.now, down)
+	seen, _ = f.See(f.now, id)
+	require.True(t, seen.Cold)
+	back := 0
+	for range 60 {
+		if _, at := f.place(); at == id {
+			back++
+		}
+	}
+	require.Less(t, back, 15, "it is filled no faster than it warms up")
+}
+
 func TestASlowWayIsToldFromSlowServers(t *testing.T) {
 	f := open(t, 4)
 	zone := map[logic.ServerID]logic.ZoneID{1: 0, 2: 0, 3: 0, 4: 0, 5: 1, 6: 1, 7: 1, 8: 1, 9: 2, 10: 2, 11: 2, 12: 2}
