--- a/logic/logic.go
+++ b/logic/logic.go
@@ -188,7 +188,7 @@
 	s.state, s.launched = state, launched
 }
 
-// open tells that the list does not forbid a server: where it proves nothing, one that did not drain may be up.
+// open tells that the list does not forbid a server: where it proves nothing, who did not drain may be up.
 func (b *Balancer) open(s *server) bool {
 	return s.state == Ready || b.list.Unproven && s.state == Gone && !s.bound
 }
@@ -298,9 +298,10 @@
 	return s.zone != b.zone && int(s.zone) < len(b.ways) && b.ways[s.zone].slow > 0.5
 }
 
-// judgeWays guards against a slow or lossy way that is taken for many slow servers: most of a zone look bad
-// from here, and those of the own zone do not. It is forgotten within some 2 s of the last sign, and tried
-// again. It hurts where most of a zone are slow by themselves and would still have been the best to be had.
+// judgeWays guards against a slow or lossy way that is taken for many slow servers: all of three or more in a
+// zone look bad from here, and most of the own zone do not. With most of two it was seen where none was.
+// It is forgotten within some 2 s of the last sign, and tried again. It hurts where all that are known of a
+// zone are slow by themselves and would still have been the best to be had.
 func (b *Balancer) judgeWays() {
 	if int(b.zone) >= len(b.ways) {
 		return
@@ -309,7 +310,7 @@
 	for i := range b.ways {
 		w := &b.ways[i]
 		w.slow *= 0.93
-		if ZoneID(i) != b.zone && w.all >= 2 && w.bad/(w.all+1) > own.bad/(own.all+1)+0.4 {
+		if ZoneID(i) != b.zone && w.all >= 3 && w.bad >= w.all && own.bad <= own.all/2 {
 			w.slow = 1
 		}
 	}
