A drain ordered while two processes run counts for both

Weak point found on reading: an order to evacuate or to rejoin that reached the old process between the heir's yes and SIGTERM was known to the old one alone, and the heir answered PING with yes. The order goes along on the channel now; the test waits for the heir's answer to the front, and fails without it.

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -80,6 +80,7 @@
 		return
 	}
 	turn, now := p.take(evacuating), p.now()
+	p.tellHeir(packet{Evacuating: true})
 	p.log.Info("evacuating", "attachments", len(p.clients))
 	p.after(emptying, func() { p.sendAway(turn, now+emptiedBy) })
 	p.after(emptiedBy, func() { p.refusing = p.refusing || p.turn == turn })
@@ -94,6 +95,7 @@
 func (p *Proxy) rejoin() {
 	if p.duty == evacuating {
 		p.take(serving)
+		p.tellHeir(packet{Rejoined: true})
 		p.log.Info("back to work", "attachments", len(p.clients))
 	}
 }
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -163,6 +163,7 @@
 
 	Memory     *logic.Memory `json:",omitempty"` // a part of what the decisions know; the last part has the rest of it
 	Evacuating bool          `json:",omitempty"` // clients are being sent away
+	Rejoined   bool          `json:",omitempty"` // and no longer are
 }
 
 // part is how many servers a packet tells of: some 300 bytes each.
@@ -240,11 +241,18 @@
 			}
 		}
 		if p.duty == evacuating {
-			p.sayNext(c, packet{Evacuating: true})
+			p.tellHeir(packet{Evacuating: true})
 		}
 	}
 }
 
+// tellHeir passes an order on: until SIGTERM operators may call either process, and the two are one proxy.
+func (p *Proxy) tellHeir(order packet) {
+	if p.inherits() {
+		p.sayNext(p.heritage.heir, order)
+	}
+}
+
 // heirGone has this process serve on, or leave as if there had been no other.
 func (p *Proxy) heirGone(c *succession.Channel) {
 	c.Close()
@@ -402,6 +410,8 @@
 		p.in.Remember(*said.Memory)
 	case said.Evacuating:
 		p.evacuate()
+	case said.Rejoined:
+		p.rejoin()
 	case said.Unasked != nil && len(conns) == 1 && conns[0] != nil:
 		p.enroll(&client{came: said.Unasked.Came, early: said.Unasked.Said}, conns[0])
 	case said.Stands != nil && len(conns) == 2 && conns[0] != nil && conns[1] != nil:
--- a/internal/proxy/succeed_test.go
+++ b/internal/proxy/succeed_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"os"
@@ -82,7 +83,18 @@
 	require.Eventually(s, func() bool { return s.proxy.Figures().Current == n }, 5*time.Second, 10*time.Millisecond)
 }
 
-// ends waits until a process has ended in good order.
+// comesToSay waits until a process answers the front so.
+func (s *stage) comesToSay(word string) {
+	s.Helper()
+	require.Eventually(s, func() bool {
+		asks := s.call("PING\r\n")
+		defer asks.Close()
+		line, _ := asks.in.ReadString('\n')
+		return line == word+"\r\n"
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+// endsWithin waits until a process has ended in good order.
 func (s *stage) endsWithin(span time.Duration) {
 	s.Helper()
 	select {
@@ -166,6 +178,27 @@
 	}
 }
 
+func TestTheHeirOfADrainedProxyIsDrained(t *testing.T) {
+	h := newHouse(t)
+	first := h.start()
+	c := first.open("c=chat,d=1500")
+	c.hears("UP a")
+	require.NoError(t, first.proxy.Evacuate(context.Background()))
+	second := h.start()
+	second.comesToSay("ERR not ready")
+	first.leave <- syscall.SIGTERM
+	c.hears("MOVE") // whoever holds it by then
+	first.endsWithin(3 * time.Second)
+	require.NoError(t, second.proxy.Rejoin(context.Background()))
+	second.pings("PONG")
+
+	third := h.start() // an order that comes between the yes and SIGTERM counts for both
+	require.NoError(t, second.proxy.Evacuate(context.Background()))
+	third.comesToSay("ERR not ready")
+	require.NoError(t, second.proxy.Rejoin(context.Background()))
+	third.comesToSay("PONG")
+}
+
 func TestWithoutTheFolderClientsAreMoved(t *testing.T) {
 	h := newHouse(t)
 	h.folder = ""
