Where crossings are dear, the own zone's trouble is forgotten sooner

Connections that have crossed cost by the second until they are brought home, which waits until home has worn off from 1 to 0.25, 17 s at 0.98 a tick.

Change: wears off by up to 0.949 a tick, by the price above 0.03.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -529,12 +529,16 @@
 		}
 	}
 	b.crowd = max(min(bad-1, 1)*bad/(all+2), b.crowd*0.92) // one is no crowd, however few are known
-	b.home = max(min(1, 4*ownBad/(own+2)), b.home*0.98)
+	b.home = max(min(1, 4*ownBad/(own+2)), b.home*(0.98-dear*max(0, b.crossing-0.03)))
 	if units > 0 {
 		b.worth = gain / units
 	}
 }
 
+// dear is how much sooner the own zone's trouble is forgotten, by what a crossing costs: a fifth each second
+// at a price of a fifth, as before up to 0.03, where to forget it sooner cost up to 0.012.
+const dear = 0.18
+
 // common tells that set-ups fail for a common cause, as a slow store: the last failed on several servers.
 // More make it worse, so they go out one at a time; each that stands takes one failure back.
 func (b *Balancer) common() bool { return len(b.failing) >= 2 }
