Servers' load reports count in the pick, as far as what a proxy sees agrees with them

Cause: a proxy of sixteen sees five of a server's ninety connections, and no decision read the load that servers report when probed (lines at fault: cost and sound in logic/logic.go, event 12 in internal/wire/wire.go, which dropped the report). Change: held, ask, Reported; own units where a report is old or not believed. Answers to these probes tell of no lateness where words on it come. Hurts where an untrue report meets no own sight of that server.

--- a/internal/opening/book.go
+++ b/internal/opening/book.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -146,6 +147,14 @@
 		logic.ColdRule{Start: f[3], Warm: Millis(f[4]), Multiple: f[5], Window: Millis(f[6])}, leave, f[8], f[11]), nil
 }
 
+// Fill is the place, in the load reports that come with probes, of a server's load over what it can do; -1 if none is told.
+func (p Book) Fill() int {
+	if p["limits.probes"] != "true" || p["report.how"] == "off" {
+		return -1
+	}
+	return slices.Index(p.row("report.fields"), "x0")
+}
+
 // farthest guards against a time that is no number or does not fit.
 const farthest = 1e15
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,6 +19,8 @@
 	batchHeader = 20
 	eventSize   = 56
 	entrySize   = 23
+	// reportValues is how many values a load report has room for.
+	reportValues = 4
 	// longest is far above the megabytes a batch may reach; a longer one is taken for garbage.
 	longest = 1 << 30
 )
@@ -44,7 +46,7 @@
 func Serve(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
 	reply := &Reply{}
-	d := &desk{host: host.New(reply), reply: reply}
+	d := &desk{host: host.New(reply), reply: reply, fills: map[host.InstanceID]int{}}
 	var buf []byte
 	for {
 		f, err := read(r, &buf)
@@ -102,6 +104,7 @@
 	host     *host.Host
 	reply    *Reply
 	selected host.InstanceID
+	fills    map[host.InstanceID]int // where in a load report the fill stands
 	chosen   bool
 	instance *host.Instance
 }
@@ -160,10 +163,14 @@
 	if err != nil {
 		return err
 	}
-	b, err := opening.Lines(string(text)).Balancer(at.u64(1))
+	book := opening.Lines(string(text))
+	b, err := book.Balancer(at.u64(1))
 	if err != nil {
 		return fmt.Errorf("opening instance %d: %w", d.selected, err)
 	}
+	if d.fills[d.selected] = book.Fill(); d.fills[d.selected] >= 0 {
+		b.HearReports()
+	}
 	d.instance = d.host.Open(d.selected, b)
 	return nil
 }
@@ -175,6 +182,9 @@
 	case 2, 5: // nothing is asked of peers, and a reminder only wakes
 	case 12:
 		in.Probed(now, at.server(1), at.micros(7))
+		if place := d.fills[d.selected]; place >= 0 && place < min(int(at[15]), reportValues) {
+			in.Reported(now, at.server(1), float64(math.Float32frombits(at.u32(16+4*place))))
+		}
 	case 3:
 		o, err := at.outcome(15)
 		if err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -121,3 +121,35 @@
 		require.ErrorContains(t, err, name)
 	}
 }
+
+// The report that comes with a probe's answer reaches the decisions: the emptier of two is sent to.
+func TestReportsOfProbesArePassedOn(t *testing.T) {
+	conf := opening + "limits.probes=true\nreport.how=on_probe\nreport.fields=rif,x0\n"
+	tail := conf + entry(7) + entry(8) + entry(9)
+	at := uint32(len(conf))
+	in := frame(1, 1000, tail, rec(1, uint32(4)), rec(11, uint64(7), uint32(0), at), rec(6, byte(1), uint32(0), at, uint32(3)))
+	batch := uint32(2)
+	for ; batch < 30; batch++ {
+		events := [][]byte{rec(1, uint32(4))}
+		for id, fill := range map[uint32]float32{7: 9, 8: 0.2, 9: 9} {
+			events = append(events, rec(12, id, uint16(1), float64(1), byte(2), float32(5), fill))
+		}
+		in = append(in, frame(batch, 1000+float64(batch)*250, "", events...)...)
+	}
+	for id := range uint64(2) {
+		in = append(in, frame(batch+uint32(id), 9000+float64(id), "", rec(1, uint32(4)), rec(13, 100+id, byte(0), float64(2000)))...)
+	}
+	out, err := serve(in)
+	require.NoError(t, err)
+	sent := map[uint32]int{}
+	for b := out; len(b) > 0; {
+		length, count := binary.BigEndian.Uint32(b), binary.BigEndian.Uint32(b[4:])
+		for i := range count {
+			if r := b[12+24*i:]; r[0] == 71 {
+				sent[binary.BigEndian.Uint32(r[17:])]++
+			}
+		}
+		b = b[length:]
+	}
+	require.Equal(t, map[uint32]int{8: 2}, sent)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,29 +29,30 @@
 	weighing         Weighing
 	proxies          float64 // instances that place on the same servers, this one included
 
-	servers      []*server // in the order of the list
-	byID         map[ServerID]*server
-	next         int     // rotating start of the scan, at first the own index
-	out, ready   int     // dispatches out; ready servers
-	weight       float64 // their mean weight
-	setup, unit  pace    // time of a set-up; load of a connection, microseconds a second
-	crowd        float64 // share of the known servers that are late or passed over, at most; wearing off
-	home         float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
-	ways         []way   // to the zones, by their numbers
-	worth        float64 // mean gain of a unit of load
-	told         [2]bool
-	rate, placed float64
-	holders      map[ClientKey]ServerID
-	held         int             // own connections
-	members      map[GroupID]int // those of each group
-	models       map[ModelID]*kind
-	loads        map[ClientKey]float64 // of clients that may come again
-	stood        Micros                // when a set-up last stood
-	failing      []ServerID            // servers on which a set-up failed since the last that stood
-	shares       []float64
-	errands      []Errand
-	probes       int // that connections have paid for
-	nextTick     Micros
+	servers         []*server // in the order of the list
+	byID            map[ServerID]*server
+	next            int     // rotating start of the scan, at first the own index
+	out, ready      int     // dispatches out; ready servers
+	weight          float64 // their mean weight
+	setup, unit     pace    // time of a set-up; load of a connection, microseconds a second
+	crowd           float64 // share of the known servers that are late or passed over, at most; wearing off
+	home            float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
+	ways            []way   // to the zones, by their numbers
+	worth           float64 // mean gain of a unit of load
+	told            [2]bool
+	rate, placed    float64
+	holders         map[ClientKey]ServerID
+	own             int             // connections
+	members         map[GroupID]int // those of each group
+	models          map[ModelID]*kind
+	loads           map[ClientKey]float64 // of clients that may come again
+	stood, nextTick Micros                // when a set-up last stood; when the timer is due
+	failing         []ServerID            // servers on which a set-up failed since the last that stood
+	shares          []float64
+	errands         []Errand
+	reports         bool    // answers to probes tell a server's fill
+	fill, perSize   float64 // means of fresh reports, and of own units per size there; 0 if there are few
+	asked, probes   int     // the last server asked for its fill; probes that connections have paid for
 }
 
 // kind sums up what is known of the servers of a model.
@@ -68,38 +69,24 @@
 }
 
 type server struct {
-	id       ServerID
-	zone     ZoneID
-	kin      *kind
-	cell     CellID
-	state    State
-	weight   float64
-	launched Micros
-	listed   bool
-	returned Micros // when it was last seen to have come back from where it answered nothing
-	misses   int    // set-ups that failed there since one stood
-	bound    bool   // it was listed as draining since it was ready last
-
-	standing []*Attachment
-	waiting  []*Attachment // dispatches out, oldest first
-	units    float64       // load of both, in mean connections
-	start    float64       // starting count, wearing off
-	groups   map[GroupID]int
-
-	tries, fails           float64
-	shunned                Micros  // passed over until then, for its failures or what it dropped
-	pace                   float64 // what it is seen to do against its weight; 1 at first
-	delay, delayAt         Micros
-	falling                bool
-	probeAt, quick, probed Micros  // its next probe; its quickest and its last answer to one
-	recent                 []sent  // sends while cold
-	chance                 float64 // settles fractions of a connection in the cold budget
-	drawn                  Micros  // when that was drawn
-}
-
-type sent struct {
-	at    Micros
-	units float64
+	ServerMemory  // the account of it as this instance sees it, which the next one takes over
+	zone          ZoneID
+	kin           *kind
+	cell          CellID
+	state         State
+	weight        float64
+	returned      Micros // when it was last seen to have come back from where it answered nothing
+	misses        int    // set-ups that failed there since one stood
+	listed, bound bool   // in the whole list being told; it was listed as draining since it was ready last
+
+	standing     []*Attachment
+	waiting      []*Attachment // dispatches out, oldest first
+	units, start float64       // load of both, in mean connections; starting count, wearing off
+	groups       map[GroupID]int
+
+	// Its last report: load over what it can do, own units then, how far it is believed, when it came.
+	fill, fillUnits, faith float64
+	fillAt                 Micros
 }
 
 // pace follows a quantity's mean and mean deviation.
@@ -167,7 +154,7 @@
 	weight float64, launched Micros) {
 	s := b.byID[id]
 	if s == nil {
-		s = &server{id: id, groups: map[GroupID]int{}, pace: 1}
+		s = &server{ServerMemory: ServerMemory{ID: id, Pace: 1}, groups: map[GroupID]int{}, faith: 1}
 		b.byID[id] = s
 		b.servers = append(b.servers, s)
 		s.state = Gone
@@ -179,13 +166,13 @@
 	if b.weighing != Unweighed && weight > 0 {
 		s.weight = weight
 	}
-	fresh := launched > s.launched && now-launched < b.cold.Warm
+	fresh := launched > s.Launched && now-launched < b.cold.Warm
 	if state == Ready && (fresh || s.state == Gone) {
-		s.tries, s.fails, s.shunned, s.chance = 0, 0, 0, b.rng.Float64()
+		s.Tries, s.Fails, s.Shunned, s.fill, s.Chance = 0, 0, 0, 0, b.rng.Float64()
 		b.startAtMean(s)
 	}
 	s.bound = state == Draining || s.bound && state != Ready
-	s.state, s.launched = state, launched
+	s.state, s.Launched = state, launched
 }
 
 // open tells that the list does not forbid a server: where it proves nothing, who did not drain may be up.
@@ -250,18 +237,42 @@
 
 // size is a server's weight beside the mean, times its pace as late messages told, less across zones.
 func (b *Balancer) size(s *server) float64 {
-	pace := s.pace
+	pace := s.Pace
 	if len(s.standing) == 0 && s.kin.servers > 0 {
 		pace = min(pace, s.kin.paces/s.kin.servers)
 	}
-	size := s.weight / b.weight * pace
-	if s.zone != b.zone {
-		// At a price of a fifth others are all but closed while the own one is calm, else a third as large.
-		size *= max(0.05, 1-(4.7-1.5*b.home)*b.crossing)
+	return s.weight / b.weight * pace * b.near(s)
+}
+
+// near is what a crossing leaves of a server's size.
+func (b *Balancer) near(s *server) float64 {
+	if s.zone == b.zone {
+		return 1
 	}
-	return size
+	// At a price of a fifth others are all but closed while the own one is calm, else a third as large.
+	return max(0.05, 1-(4.7-1.5*b.home)*b.crossing)
 }
 
+// held is a server's load in own mean connections: by own counts, where a report is fresh by that and what
+// was placed since, as one of many sees little. It hurts where one is untrue and no own sight says so.
+func (b *Balancer) held(now Micros, s *server) float64 {
+	own := s.units + s.start
+	if b.fill == 0 || !s.reported(now) {
+		return own
+	}
+	told := s.fill/b.fill*b.perSize*b.size(s)/b.near(s) + s.units - s.fillUnits
+	return own + byReport*s.faith*(told-own)
+}
+
+const (
+	byReport  = 0.9         // with a half two thirds were gained
+	reportFor = 12 * Second // how long one counts: to ask a hundred takes six; with 6 s less was gained
+	asks      = 4           // a tick: with one or two half was gained, with eight the price outgrew it
+	atEase    = 0.5         // a fleet filled less is asked one a tick
+)
+
+func (s *server) reported(now Micros) bool { return s.fill > 0 && now-s.fillAt < reportFor }
+
 // unitsOf is an attachment's load in mean connections.
 func (b *Balancer) unitsOf(a *Attachment) float64 {
 	level := cmp.Or(a.level, b.loads[a.Key], a.Hint)
@@ -279,7 +290,7 @@
 
 const lateAfter = 5 * Second // how long a word on late messages holds; they come once a second
 
-func (s *server) late(now Micros) bool { return s.delay > 0 && now-s.delayAt < lateAfter }
+func (s *server) late(now Micros) bool { return s.Delay > 0 && now-s.DelayAt < lateAfter }
 
 // stuck guards against a hung server drawing for seconds; a set-up takes tens of milliseconds.
 func (s *server) stuck(now Micros) bool {
@@ -291,7 +302,7 @@
 }
 
 // ill servers are passed over while another may be had; mayTake tells what may be sent to at all.
-func (s *server) ill(now Micros) bool { return s.shunned > now || s.stuck(now) }
+func (s *server) ill(now Micros) bool { return s.Shunned > now || s.stuck(now) }
 
 // far tells that the way to a server's zone is slow or loses much.
 func (b *Balancer) far(s *server) bool {
@@ -343,23 +354,23 @@
 	switch {
 	case s.zone != b.zone:
 		chance = max(chance, 1-b.home)
-	case s.tries > 0.01: // used within some 20 s
+	case s.Tries > 0.01: // used within some 20 s
 		chance /= 4 // among equals a server in use comes first; half or a sixteenth did the same
 	}
-	u = s.units + s.start + max(u-1, 0) + chance
+	u = b.held(now, s) + max(u-1, 0) + chance
 	if a.Group != 0 && s.groups[a.Group] == 0 {
 		// Guards against as many homes of a group as there are proxies: all know the same order of servers.
-		share := float64(b.members[a.Group]+1) / float64(b.held+10)
+		share := float64(b.members[a.Group]+1) / float64(b.own+10)
 		step := homing
 		if a.Back {
 			step /= 4 // its last server was likely an early one, and is in trouble
 		}
-		u += min(groupUnits, groupUnits/b.proxies+step*place(a.Group, s.id)/share)
+		u += min(groupUnits, groupUnits/b.proxies+step*place(a.Group, s.ID)/share)
 	}
 	if s.late(now) {
 		u++ // one more connection's worth; three, or none, did worse on fleets of all sizes
 	}
-	if a.Back && b.held <= few && len(s.standing) == 0 && !b.isCold(now, s) {
+	if a.Back && b.own <= few && len(s.standing) == 0 && !b.isCold(now, s) {
 		// Guards against clients sent off a late server by one proxy and back to it by all the others, which have
 		// heard nothing of it: a server where one's own connections stand well is known to be well.
 		u += unheard
@@ -386,7 +397,7 @@
 }
 
 // started is when a server last began from cold, as the list says or as it was seen to.
-func (s *server) started() Micros { return max(s.launched, s.returned) }
+func (s *server) started() Micros { return max(s.Launched, s.returned) }
 
 func (b *Balancer) isCold(now Micros, s *server) bool {
 	return s.started() != 0 && now-s.started() < b.cold.Warm
@@ -399,19 +410,19 @@
 	}
 	age := now - s.started()
 	spent := 0.0
-	for len(s.recent) > 0 && now-s.recent[0].at > b.cold.Window {
-		s.recent = s.recent[1:]
+	for len(s.SentAt) > 0 && now-s.SentAt[0] > b.cold.Window {
+		s.SentAt, s.SentUnits = s.SentAt[1:], s.SentUnits[1:]
 	}
-	for _, r := range s.recent {
-		spent += r.units
+	for _, units := range s.SentUnits {
+		spent += units
 	}
 	share := b.cold.Start + (1-b.cold.Start)*float64(age)/float64(b.cold.Warm)
-	if now-s.drawn >= b.cold.Window {
-		s.chance, s.drawn = b.rng.Float64(), now // guards against proxies that lost the draw once and for all
+	if now-s.Drawn >= b.cold.Window {
+		s.Chance, s.Drawn = b.rng.Float64(), now // guards against proxies that lost the draw once and for all
 	}
 	// Guards against hundreds of proxies with one each: below one, chance tells which has it.
 	budget := bears * b.cold.Multiple * share * b.rate * float64(b.cold.Window) / float64(Second)
-	return spent+b.unitsOf(a)*(1-s.chance) <= max(budget, 1/b.proxies)
+	return spent+b.unitsOf(a)*(1-s.Chance) <= max(budget, 1/b.proxies)
 }
 
 // bears is how much more a warm server is taken to bear than each was sent lately: it can be filled within
@@ -458,7 +469,7 @@
 		return Answer{Verdict: NotYet, For: min(holdFor, a.Limit-now-4*Millisecond)}
 	}
 	b.put(now, s, a)
-	return Answer{Verdict: Send, Server: s.id, For: b.patience(now, a)}
+	return Answer{Verdict: Send, Server: s.ID, For: b.patience(now, a)}
 }
 
 // worthOf is the gain that a unit of an attachment's load earns.
@@ -498,10 +509,14 @@
 	for i := range b.ways {
 		b.ways[i].all, b.ways[i].bad = 0, 0
 	}
-	var gain, units float64
+	var gain, units, fills, held, sizes, faith float64
 	for _, s := range b.servers {
+		if s.state == Ready && s.reported(now) {
+			fills, held = fills+s.faith*s.fill, held+s.faith*s.units
+			sizes, faith = sizes+s.faith*b.size(s), faith+s.faith
+		}
 		trouble := 0.0
-		if s.late(now) || s.shunned > now {
+		if s.late(now) || s.Shunned > now {
 			trouble = 1
 		}
 		if s.state == Ready && (trouble > 0 || len(s.standing) > 0) {
@@ -510,14 +525,18 @@
 			}
 			b.ways[s.zone].all, b.ways[s.zone].bad = b.ways[s.zone].all+1, b.ways[s.zone].bad+trouble
 		}
-		if len(s.standing) > 0 || s.pace < 1 {
-			s.kin.paces, s.kin.servers = s.kin.paces+s.pace, s.kin.servers+1
+		if len(s.standing) > 0 || s.Pace < 1 {
+			s.kin.paces, s.kin.servers = s.kin.paces+s.Pace, s.kin.servers+1
 		}
 		for _, a := range s.standing {
 			gain += a.units * b.worthOf(a, a.units)
 			units += a.units
 		}
 	}
+	b.fill, b.perSize = 0, 0
+	if faith >= 3 { // of fewer a mean says little
+		b.fill, b.perSize = fills/faith, max(held/sizes, 1) // a proxy that holds nothing goes by reports
+	}
 	b.judgeWays()
 	var all, bad, own, ownBad float64
 	for i, w := range b.ways {
@@ -628,6 +647,7 @@
 		b.report()
 		b.relieve(now)
 		b.sound(now)
+		b.ask()
 	}
 	return b.nextTick - now, b.errands
 }
@@ -635,9 +655,9 @@
 // wearOff lets old evidence fade: failures over some 3.5 s, a starting count over some 9 s.
 func (b *Balancer) wearOff(now Micros) {
 	for _, s := range b.servers {
-		s.tries, s.fails, s.start = s.tries*0.95, s.fails*0.95, s.start*0.97
+		s.Tries, s.Fails, s.start = s.Tries*0.95, s.Fails*0.95, s.start*0.97
 		if !s.late(now) {
-			s.pace = min(1, s.pace*1.005)
+			s.Pace = min(1, s.Pace*1.005)
 		}
 	}
 	b.rate += (max(b.placed, 0)*float64(Second/tick)/float64(max(b.ready, 1)) - b.rate) / 40
@@ -650,14 +670,14 @@
 	a.on, a.last, a.sentAt, a.units, a.sends = s, s, now, b.unitsOf(a), a.sends+1
 	s.units += a.units
 	s.waiting = append(s.waiting, a)
-	b.out, b.held = b.out+1, b.held+1
+	b.out, b.own = b.out+1, b.own+1
 	if a.Group != 0 {
 		s.groups[a.Group]++
 		b.members[a.Group]++
 	}
 	if b.isCold(now, s) {
-		s.recent = append(s.recent, sent{now, a.units})
-		s.chance = b.rng.Float64()
+		s.SentAt, s.SentUnits = append(s.SentAt, now), append(s.SentUnits, a.units)
+		s.Chance = b.rng.Float64()
 	}
 }
 
@@ -668,7 +688,7 @@
 		return
 	}
 	s.units -= a.units
-	b.held--
+	b.own--
 	if a.Group != 0 {
 		if b.members[a.Group]--; b.members[a.Group] == 0 {
 			delete(b.members, a.Group)
@@ -708,12 +728,12 @@
 	b.setup.add(float64(now - a.sentAt))
 	b.placed, b.stood = b.placed+a.units, now
 	b.failing = b.failing[:max(len(b.failing)-1, 0)]
-	s.tries++
+	s.Tries++
 }
 
 func (b *Balancer) stand(s *server, a *Attachment) {
 	if b.leave.Through {
-		b.holders[a.Key] = s.id
+		b.holders[a.Key] = s.ID
 	}
 	b.probes += 2 // one each saw less; without a bound the price outgrew the use where little comes
 	a.stands, s.standing = true, append(s.standing, a)
@@ -763,16 +783,16 @@
 	if s == nil {
 		return
 	}
-	s.falling, s.delay, s.delayAt = took < s.delay, 0, now
+	s.Falling, s.Delay, s.DelayAt = took < s.Delay, 0, now
 	if took < b.quickest()/3 {
 		return // a third of the quoted time is the lateness that is told of
 	}
-	s.delay = took
+	s.Delay = took
 	if b.far(s) {
 		return // the way's doing: a pace wears off over a minute
 	}
 	// Guards against unlike servers behind equal weights and those that slow down.
-	s.pace = max(slowest, s.pace*(1-learning[b.weighing]*min(float64(took)/float64(b.quickest()), 4)))
+	s.Pace = max(slowest, s.Pace*(1-learning[b.weighing]*min(float64(took)/float64(b.quickest()), 4)))
 }
 
 // learning is what a late word takes off the pace: a rough weight says least of a server's true speed.
@@ -781,26 +801,61 @@
 // sound probes the servers with own connections, as often as words on late messages come, where none come.
 func (b *Balancer) sound(now Micros) {
 	for _, s := range b.servers {
-		if b.leave.Probes && b.probes > 0 && len(s.standing) > 0 && now >= s.probeAt {
+		if b.leave.Probes && b.probes > 0 && len(s.standing) > 0 && now >= s.ProbeAt {
 			b.probes--
-			s.probeAt = now + Second // half as often saw half as much, twice as often cost what it brought
-			b.errands = append(b.errands, Errand{Task: Probe, Server: s.id})
+			s.ProbeAt = now + Second // half as often saw half as much, twice as often cost what it brought
+			b.errands = append(b.errands, Errand{Task: Probe, Server: s.ID})
+		}
+	}
+}
+
+// HearReports says that the host passes reports on. Live weights tell the same: to ask as well cost 0.033.
+func (b *Balancer) HearReports() { b.reports = b.weighing != ByLiveShare }
+
+// ask has servers probed for their fill, in turn, as far as connections have paid for it.
+func (b *Balancer) ask() {
+	most := asks
+	if b.fill > 0 && b.fill < atEase {
+		most = 1
+	}
+	for range b.servers {
+		if !b.reports || b.probes <= 0 || most == 0 {
+			return
+		}
+		b.asked = (b.asked + 1) % len(b.servers)
+		if s := b.servers[b.asked]; b.open(s) {
+			b.probes, most = b.probes-1, most-1
+			b.errands = append(b.errands, Errand{Task: Probe, Server: s.ID})
 		}
 	}
 }
 
+// Reported tells a server's load over what it can do, as it says. One that own sight contradicts is no more
+// believed, whatever makes it untrue: room where messages are late or own ones stand, none where all is well.
+func (b *Balancer) Reported(now Micros, id ServerID, fill float64) {
+	s := b.byID[id]
+	if s == nil || !(fill >= 0 && fill < 100) {
+		return
+	}
+	s.faith += (1 - s.faith) / 4
+	if s.late(now) && fill < 0.7 || len(s.standing) > 0 && (fill == 0 || fill > 1.1 && !s.late(now)) {
+		s.faith = 0
+	}
+	s.fill, s.fillAt, s.fillUnits = max(fill, 0.01), now, s.units
+}
+
 // Probed tells how long a server took to answer a probe. Each quickest answer beyond the first, and a quarter
 // for jitter, stands for the quoted time. Of two the quicker counts where the way is long or the answer took
 // as long as a short pause, which meets a single one. Elsewhere to wait for a second word cost a tenth of G.
 func (b *Balancer) Probed(now Micros, id ServerID, took Micros) {
-	if s := b.byID[id]; s != nil && took > 0 {
-		s.quick = min(cmp.Or(s.quick, took), took)
+	if s := b.byID[id]; s != nil && took > 0 && b.leave.Probes {
+		s.Quick = min(cmp.Or(s.Quick, took), took)
 		seen := took
-		if s.zone != b.zone || took > pauses*s.quick {
-			seen = min(took, s.probed)
+		if s.zone != b.zone || took > pauses*s.Quick {
+			seen = min(took, s.Probed)
 		}
-		b.Delay(now, id, b.quickest()*max(0, seen-s.quick*5/4)/s.quick)
-		s.probed = took
+		b.Delay(now, id, b.quickest()*max(0, seen-s.Quick*5/4)/s.Quick)
+		s.Probed = took
 	}
 }
 
@@ -822,13 +877,8 @@
 	m := Memory{Setup: Follow(b.setup), Unit: Follow(b.unit), Crowd: b.crowd, Home: b.home, Rate: b.rate,
 		Stood: b.stood, Failing: slices.Clone(b.failing)}
 	for _, s := range b.servers {
-		known := ServerMemory{ID: s.id, Launched: s.launched, Tries: s.tries, Fails: s.fails,
-			Pace: s.pace, Shunned: s.shunned, Delay: s.delay, DelayAt: s.delayAt,
-			ProbeAt: s.probeAt, Quick: s.quick, Probed: s.probed,
-			Drawn: s.drawn, Falling: s.falling, Chance: s.chance}
-		for _, r := range s.recent {
-			known.SentAt, known.SentUnits = append(known.SentAt, r.at), append(known.SentUnits, r.units)
-		}
+		known := s.ServerMemory
+		known.SentAt, known.SentUnits = slices.Clone(s.SentAt), slices.Clone(s.SentUnits)
 		m.Servers = append(m.Servers, known)
 	}
 	return m
@@ -841,18 +891,14 @@
 	b.crowd, b.home, b.rate, b.stood, b.failing = m.Crowd, m.Home, m.Rate, m.Stood, m.Failing
 	for _, k := range m.Servers {
 		s := b.byID[k.ID]
-		if s == nil || s.launched != k.Launched {
+		if s == nil || s.Launched != k.Launched {
 			continue
 		}
-		s.tries, s.fails = s.tries+k.Tries, s.fails+k.Fails
-		s.pace, s.shunned = min(s.pace, k.Pace), max(s.shunned, k.Shunned)
-		s.delay, s.delayAt, s.falling = k.Delay, k.DelayAt, k.Falling
-		s.probeAt, s.quick, s.probed, s.chance, s.drawn = k.ProbeAt, k.Quick, k.Probed, k.Chance, k.Drawn
-		var spent []sent // what the one before has spent comes first: it is older
-		for i, at := range k.SentAt[:min(len(k.SentAt), len(k.SentUnits))] {
-			spent = append(spent, sent{at, k.SentUnits[i]})
-		}
-		s.recent = append(spent, s.recent...)
+		n := min(len(k.SentAt), len(k.SentUnits)) // what the one before has spent comes first: it is older
+		k.SentAt, k.SentUnits = append(k.SentAt[:n:n], s.SentAt...), append(k.SentUnits[:n:n], s.SentUnits...)
+		k.Tries, k.Fails = s.Tries+k.Tries, s.Fails+k.Fails
+		k.Pace, k.Shunned = min(s.Pace, k.Pace), max(s.Shunned, k.Shunned)
+		s.ServerMemory = k
 	}
 }
 
@@ -864,17 +910,17 @@
 
 // failed books a failure and passes over a server whose share of failures is far above the median.
 func (b *Balancer) failed(now Micros, s *server, a *Attachment, o Outcome) {
-	s.tries, s.fails = s.tries+1, s.fails+1
-	if (o == TimedOut || o == Failure) && s.shunned <= now && !slices.Contains(b.failing, s.id) {
-		b.failing = append(b.failing, s.id)
+	s.Tries, s.Fails = s.Tries+1, s.Fails+1
+	if (o == TimedOut || o == Failure) && s.Shunned <= now && !slices.Contains(b.failing, s.ID) {
+		b.failing = append(b.failing, s.ID)
 	}
 	if o == Reset || o == Full {
 		// Guards against a storm: what a full server drops comes again at once. A second lets some work off.
-		s.shunned = max(s.shunned, b.around(now, Second))
+		s.Shunned = max(s.Shunned, b.around(now, Second))
 	}
 	// One failure in two tries is out of line where half the fleet has none.
 	if s.share() > b.median()+0.3 {
-		s.shunned = b.around(now, 2*Second) // doubling it each time made no difference
+		s.Shunned = b.around(now, 2*Second) // doubling it each time made no difference
 	}
 }
 
@@ -883,7 +929,7 @@
 	return now + wait/2 + Micros(b.rng.Int63n(int64(wait)))
 }
 
-func (s *server) share() float64 { return s.fails / (s.tries + 1) }
+func (s *server) share() float64 { return s.Fails / (s.Tries + 1) }
 
 func (b *Balancer) median() float64 {
 	b.shares = b.shares[:0]
@@ -903,7 +949,7 @@
 
 // relieve moves connections off servers whose messages are late; in a crowd only from twice that on, for
 // there is less room. A delay that falls needs no more: what has piled up takes its time to drain. Those
-// across zones are moved home while the own zone is calm, where a crossing costs more than a move.
+// across zones are moved home while the own zone is calm, where a crossing costs clearly more than a move.
 func (b *Balancer) relieve(now Micros) {
 	from := b.quickest() / 3
 	if b.crowd > crowdedFrom {
@@ -922,11 +968,11 @@
 		switch {
 		case len(s.standing) > 0 && b.far(s) && b.home < 0.5:
 			a, rate = s.standing[0], 0.5*float64(len(s.standing))
-		case s.late(now) && !s.falling && s.delay >= from:
+		case s.late(now) && !s.Falling && s.Delay >= from:
 			// 8% a second of the own load where messages are just late, 32% where they take four times as
 			// long: half of it left slow servers full, half as much again swung the load of small fleets.
-			a, rate = s.heaviest(), 0.08*min(float64(s.delay)/float64(from), 4)*s.units
-		case len(s.standing) > 0 && s.zone != b.zone && b.crossing > b.moving && b.home < 0.25:
+			a, rate = s.heaviest(), 0.08*min(float64(s.Delay)/float64(from), 4)*s.units
+		case len(s.standing) > 0 && s.zone != b.zone && b.crossing > 1.5*b.moving && b.home < 0.25:
 			a, rate = s.standing[0], 0.2*float64(len(s.standing)) // 10% a second left half of the gain
 		}
 		if a != nil && b.rng.Float64() < rate*float64(tick)/float64(Second) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,6 +1,7 @@
 package logic_test
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -817,3 +818,91 @@
 	}
 	require.Less(t, drawn[logic.ByRoughSize]+3, drawn[logic.ByNominalSize])
 }
+
+// fills reports of all servers, as often as faith takes to come back.
+func (f *fake) reports(fills map[logic.ServerID]float64) {
+	for range 12 {
+		for id := logic.ServerID(1); int(id) <= len(fills); id++ {
+			f.Reported(f.now, id, fills[id])
+		}
+		f.pass(250 * ms)
+	}
+}
+
+// A proxy among many: its own counts are equal while the others have filled one server.
+func TestAFullServerIsKnownByItsReportWhereOwnCountsAreEqual(t *testing.T) {
+	f := open(t, 4)
+	f.HearReports()
+	f.fill(40)
+	f.reports(map[logic.ServerID]float64{1: 0.9, 2: 0.3, 3: 0.6, 4: 0.6})
+	on := f.fill(12)
+	require.Empty(t, on[1])
+	require.Greater(t, len(on[2]), 6)
+	f.pass(13 * sec)
+	on = f.fill(8)
+	require.NotEmpty(t, on[1], "reports have grown old, and own counts decide")
+}
+
+func TestAnUntrueReportIsNotBelieved(t *testing.T) {
+	for name, c := range map[string]struct {
+		told  float64 // of server 1; the others say that they are half full
+		late  bool    // its messages
+		fewer bool    // it is to get no more than the others
+	}{
+		"zero":             {0, false, true},
+		"low while late":   {0.1, true, true},
+		"stuck while late": {0.5, true, true},
+		"full while idle":  {3, false, false},
+		"no number":        {math.NaN(), false, true},
+		"below nothing":    {-1, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := open(t, 4)
+			f.HearReports()
+			f.fill(40)
+			f.reports(map[logic.ServerID]float64{1: 0.5, 2: 0.5, 3: 0.5, 4: 0.5})
+			for range 8 {
+				if c.late {
+					f.Delay(f.now, 1, 200*ms)
+				}
+				for id, told := range []float64{c.told, 0.5, 0.5, 0.5} {
+					f.Reported(f.now, logic.ServerID(id+1), told)
+				}
+				f.pass(sec)
+			}
+			n := len(f.fill(20)[1])
+			if c.fewer {
+				require.LessOrEqual(t, n, 6)
+			} else {
+				require.GreaterOrEqual(t, n, 3)
+			}
+		})
+	}
+}
+
+func TestServersAreAskedInTurnAsFarAsConnectionsPay(t *testing.T) {
+	open := func(weighing logic.Weighing, reports bool) *fake {
+		f := openWeighed(t, 1, 1, 6, weighing)
+		if reports {
+			f.HearReports()
+		}
+		f.Retune(logic.New(1, 1, 1, 0, []logic.Product{status}, weighing, logic.Listing{}, logic.ColdRule{}, logic.Leave{Dispatches: 5}, 0.2, 0.01))
+		f.fill(8) // two probes each
+		return f
+	}
+	asked := func(f *fake) map[logic.ServerID]int {
+		f.errand = nil
+		f.pass(10 * sec)
+		n := map[logic.ServerID]int{}
+		for _, e := range f.errand {
+			if e.Task == logic.Probe {
+				n[e.Server]++
+			}
+		}
+		return n
+	}
+	n := asked(open(logic.ByNominalSize, true))
+	require.Equal(t, map[logic.ServerID]int{1: 2, 2: 3, 3: 3, 4: 3, 5: 3, 6: 2}, n)
+	require.Empty(t, asked(open(logic.ByNominalSize, false)), "nobody would pass the reports on")
+	require.Empty(t, asked(open(logic.ByLiveShare, true)), "the list's weights tell the same")
+}
--- a/logic/sight.go
+++ b/logic/sight.go
@@ -21,9 +21,9 @@
 		return Sight{}, false
 	}
 	seen := Sight{State: s.state, Standing: len(s.standing), Pending: len(s.waiting), Failures: s.share(),
-		Stuck: s.stuck(now), Late: s.late(now), Pace: s.pace, Probe: s.probed, Cold: b.isCold(now, s)}
-	if s.shunned > now {
-		seen.Shunned = s.shunned
+		Stuck: s.stuck(now), Late: s.late(now), Pace: s.Pace, Probe: s.Probed, Cold: b.isCold(now, s)}
+	if s.Shunned > now {
+		seen.Shunned = s.Shunned
 	}
 	return seen, true
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -110,17 +110,20 @@
 	Seen         bool
 }
 
-// ServerMemory is what is known of one server.
+// ServerMemory is the account of one server as an instance sees it.
 type ServerMemory struct {
-	ID                            ServerID
-	Launched                      Micros
-	Tries, Fails, Pace            float64
-	Shunned, Delay, DelayAt       Micros
-	ProbeAt, Quick, Probed, Drawn Micros
-	Falling                       bool
-	Chance                        float64
-	SentAt                        []Micros // while cold
-	SentUnits                     []float64
+	ID                     ServerID
+	Launched               Micros
+	Tries, Fails           float64
+	Shunned                Micros  // passed over until then, for its failures or what it dropped
+	Pace                   float64 // what it is seen to do against its weight; 1 at first
+	Delay, DelayAt         Micros
+	Falling                bool
+	ProbeAt, Quick, Probed Micros    // its next probe; its quickest and its last answer to one
+	Chance                 float64   // settles fractions of a connection in the cold budget
+	Drawn                  Micros    // when that was drawn
+	SentAt                 []Micros  // sends while cold
+	SentUnits              []float64 // their loads
 }
 
 // Verdict is what is to be done with an attachment.
