A zone that suddenly holds far more than it has borne opens the others before it is late

The proxy that is left puts 88 clients into its own zone within a second; crowded is told 2.1 s later; 15 to 20 s serves 19.5% with no failure. Ruled out: crossings' price (0.03 there), refusals (none), failures (none). At fault: near in logic/logic.go, which goes by home, and home by words on lateness alone. Also holds for a proxy that dies, and restarts in turn. Hurts by crossings where the zone bears more than it was ever asked to.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,10 +1,6 @@
-// Package logic holds all decisions of hatchproxy. A host keeps the attachments and the timers. It asks:
-//
-//	Where(now, attachment)              where to send it, or not yet, or never
-//	After(now, attachment, outcome)     what to do after this outcome
-//	Wait(now)                           how long to wait, with the errands due now
-//
-// All other calls tell facts. The plain values stand in types.go. An instance shares nothing with any other.
+// Package logic holds all decisions of hatchproxy. A host keeps the attachments and the timers. It asks Where
+// to send an attachment, what to do After an outcome, how long to Wait, with the errands due. All other calls
+// tell facts. The plain values stand in types.go. An instance shares nothing with any other.
 package logic
 
 import (
@@ -29,30 +25,32 @@
 	weighing         Weighing
 	proxies          float64 // instances that place on the same servers, this one included
 
-	servers         []*server // in the order of the list
-	byID            map[ServerID]*server
-	next            int     // rotating start of the scan, at first the own index
-	out, ready      int     // dispatches out; ready servers
-	weight          float64 // their mean weight
-	setup, unit     pace    // time of a set-up; load of a connection, microseconds a second
-	crowd           float64 // share of the known servers that are late or passed over, at most; wearing off
-	home            float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
-	ways            []way   // to the zones, by their numbers
-	worth           float64 // mean gain of a unit of load
-	told            [2]bool
-	rate, placed    float64
-	holders         map[ClientKey]ServerID
-	own             int             // connections
-	members         map[GroupID]int // those of each group
-	models          map[ModelID]*kind
-	loads           map[ClientKey]float64 // of clients that may come again
-	stood, nextTick Micros                // when a set-up last stood; when the timer is due
-	failing         []ServerID            // servers on which a set-up failed since the last that stood
-	shares          []float64
-	errands         []Errand
-	reports         bool    // answers to probes tell a server's fill
-	fill, perSize   float64 // means of fresh reports, and of own units per size there; 0 if there are few
-	asked, probes   int     // the last server asked for its fill; probes that connections have paid for
+	servers      []*server // in the order of the list
+	byID         map[ServerID]*server
+	next         int     // rotating start of the scan, at first the own index
+	out, ready   int     // dispatches out; ready servers
+	weight       float64 // their mean weight
+	setup, unit  pace    // time of a set-up; load of a connection, microseconds a second
+	crowd        float64 // share of the known servers that are late or passed over, at most; wearing off
+	home         float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
+	ways         []way   // to the zones, by their numbers
+	borne        float64 // what a size of the own zone was seen to bear well, in mean connections
+	worth        float64 // mean gain of a unit of load
+	told         [2]bool
+	rate, placed float64
+	holders      map[ClientKey]ServerID
+	own          int             // connections
+	members      map[GroupID]int // those of each group
+	models       map[ModelID]*kind
+	loads        map[ClientKey]float64 // of clients that may come again
+	// When a set-up stood last; when the timer is due; when it was due first.
+	stood, nextTick, began Micros
+	failing                []ServerID // servers on which a set-up failed since the last that stood
+	shares                 []float64
+	errands                []Errand
+	reports                bool    // answers to probes tell a server's fill
+	fill, perSize          float64 // means of fresh reports, and of own units per size there; 0 if there are few
+	asked, probes          int     // the last server asked for its fill; probes that connections have paid for
 }
 
 // kind sums up what is known of the servers of a model.
@@ -120,8 +118,8 @@
 	return b
 }
 
-// Retune takes over the figures of an instance that has just been made, and keeps all that it knows. It
-// returns the numbers of the other's products here. What is in hand keeps the rules that it began with.
+// Retune takes over the figures of a new instance and returns the numbers of its products here. What is known
+// is kept, and so are the rules that what is in hand began with.
 func (b *Balancer) Retune(fresh *Balancer) []ProductID {
 	b.list, b.cold, b.leave, b.weighing = fresh.list, fresh.cold, fresh.leave, fresh.weighing
 	b.crossing, b.moving = fresh.crossing, fresh.moving
@@ -313,9 +311,8 @@
 }
 
 // judgeWays guards against a slow or lossy way that is taken for many slow servers: all of three or more in a
-// zone look bad from here, and most of the own zone do not. With most of two it was seen where none was.
-// It is forgotten within some 2 s of the last sign, and tried again. It hurts where all that are known of a
-// zone are slow by themselves and would still have been the best to be had.
+// zone look bad from here, and most of the own zone do not; with most of two it was seen where none was. It
+// is forgotten 2 s after the last sign. It hurts where a zone is slow by itself and still the best to be had.
 func (b *Balancer) judgeWays() {
 	if int(b.zone) >= len(b.ways) {
 		return
@@ -373,8 +370,7 @@
 		u++ // one more connection's worth; three, or none, did worse on fleets of all sizes
 	}
 	if a.Back && b.own <= few && len(s.standing) == 0 && !b.isCold(now, s) {
-		// Guards against clients sent off a late server by one proxy and back to it by all the others, which have
-		// heard nothing of it: a server where one's own connections stand well is known to be well.
+		// Guards against clients sent off a late server and back to it by proxies that have heard nothing of it.
 		u += unheard
 	}
 	return u / b.size(s)
@@ -433,21 +429,9 @@
 
 // mayGo keeps the rule on effects: where one may have run, only a server that knows its stamp, and in time.
 func (b *Balancer) mayGo(now Micros, s *server, a *Attachment) bool {
-	if a.ran == nil {
-		return true
-	}
 	p := &b.products[a.Product]
-	switch {
-	case p.Repeat == Harmless:
-		return true
-	case p.Repeat == OneShot || now-a.ranSince >= p.Memory:
-		return false
-	case p.Reach == ReachZone:
-		return s.zone == a.ran.zone
-	case p.Reach == ReachCell:
-		return s.cell == a.ran.cell
-	}
-	return true
+	return b.mayRepeat(now, a) && (a.ran == nil || p.Repeat == Harmless || p.Reach == ReachAll ||
+		p.Reach == ReachZone && s.zone == a.ran.zone || p.Reach == ReachCell && s.cell == a.ran.cell)
 }
 
 // ---- the three questions
@@ -511,8 +495,11 @@
 	for i := range b.ways {
 		b.ways[i].all, b.ways[i].bad = 0, 0
 	}
-	var gain, units, fills, held, sizes, faith float64
+	var gain, units, fills, held, sizes, faith, ownUnits, ownSize float64
 	for _, s := range b.servers {
+		if s.state == Ready && s.zone == b.zone {
+			ownUnits, ownSize = ownUnits+s.units, ownSize+b.size(s)
+		}
 		if s.state == Ready && s.reported(now) {
 			fills, held = fills+s.faith*s.fill, held+s.faith*s.units
 			sizes, faith = sizes+s.faith*b.size(s), faith+s.faith
@@ -550,7 +537,8 @@
 		}
 	}
 	b.crowd = max(min(bad-1, 1)*bad/(all+2), b.crowd*0.92) // one is no crowd, however few are known
-	b.home = max(min(1, 4*ownBad/(own+2)), b.home*(0.98-dear*max(0, b.crossing-0.03)))
+	strain := b.strain(now, ownUnits/max(ownSize, 0.01), ownBad == 0)
+	b.home = max(min(1, 4*ownBad/(own+2)), strain, b.home*(0.98-dear*max(0, b.crossing-0.03)))
 	if units > 0 {
 		b.worth = gain / units
 	}
@@ -560,6 +548,20 @@
 // at a price of a fifth, as before up to 0.03, where to forget it sooner cost up to 0.012.
 const dear = 0.18
 
+// strain tells how far the own zone holds more than it was seen to bear. Guards against a neighbour's clients
+// that come as it drains or dies: lateness tells of them once all has piled up. What comes in the first
+// seconds is taken as borne. It hurts, by crossings, where the zone bears more than it was ever asked to.
+func (b *Balancer) strain(now Micros, full float64, calm bool) float64 {
+	if b.began = cmp.Or(b.began, now); now-b.began < 4*Second {
+		b.borne = max(b.borne, full)
+	}
+	over := 2 * (full/(1.5*b.borne+few) - 1) // half more, and a little, is chance; all of it from twice that on
+	if calm {
+		b.borne += max(0, full-b.borne) / 12 // some 3 s, in which messages become late
+	}
+	return min(1, over)
+}
+
 // common tells that set-ups fail for a common cause, as a slow store: the last failed on several servers.
 // More make it worse, so they go out one at a time; each that stands takes one failure back.
 func (b *Balancer) common() bool { return len(b.failing) >= 2 }
@@ -845,8 +847,7 @@
 }
 
 // Probed tells how long a server took to answer a probe. Each quickest answer beyond the first, and a quarter
-// for jitter, stands for the quoted time. Of two the quicker counts where the way is long or the answer took
-// as long as a short pause, which meets a single one. Elsewhere to wait for a second word cost a tenth of G.
+// for jitter, stands for the quoted time. Of two the quicker counts where the way is long or one was paused.
 func (b *Balancer) Probed(now Micros, id ServerID, took Micros) {
 	if s := b.byID[id]; s != nil && took > 0 && b.leave.Probes {
 		s.Quick = min(cmp.Or(s.Quick, took), took)
@@ -884,8 +885,7 @@
 	return m
 }
 
-// Remember takes over what the instance before knew. Servers that no list has named here, or that have
-// started again since, are no longer those that it knew.
+// Remember takes over what the instance before knew of servers that are still the same.
 func (b *Balancer) Remember(m Memory) {
 	b.setup, b.unit = pace(m.Setup), pace(m.Unit)
 	b.crowd, b.home, b.rate, b.stood, b.failing = m.Crowd, m.Home, m.Rate, m.Stood, m.Failing
@@ -947,9 +947,8 @@
 
 // ---- moves
 
-// relieve moves connections off servers whose messages are late; in a crowd only from twice that on, for
-// there is less room. A delay that falls needs no more: what has piled up takes its time to drain. Those
-// across zones are moved home while the own zone is calm, where a crossing costs clearly more than a move.
+// relieve moves connections off late servers; in a crowd only from twice that on, for there is less room. A
+// falling delay needs no more. Across zones they move home while that is calm, if a crossing costs more.
 func (b *Balancer) relieve(now Micros) {
 	from := b.quickest() / 3
 	if b.crowd > crowdedFrom {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -921,3 +921,32 @@
 	require.Empty(t, asked(open(logic.ByNominalSize, false)), "nobody would pass the reports on")
 	require.Empty(t, asked(open(logic.ByLiveShare, true)), "the list's weights tell the same")
 }
+
+// A neighbour was drained: all its clients came within a second, and filled two servers that had been well until then.
+func TestClientsThatComeAllAtOnceAreNotAllKeptInTheOwnZone(t *testing.T) {
+	start := func() *fake {
+		f := open(t, 2)
+		for id := logic.ServerID(3); id <= 5; id++ {
+			f.Listed(f.now, id, 1, 0, 3, logic.Ready, 1, 0)
+		}
+		f.ListDone(f.now, false)
+		return f
+	}
+	across := func(on map[logic.ServerID][]*logic.Attachment) int { return len(on[3]) + len(on[4]) + len(on[5]) }
+	surge := func(f *fake) (n int) {
+		for range 8 { // over two seconds, without one late word
+			n += across(f.fill(10))
+			f.pass(250 * ms)
+		}
+		return n
+	}
+	f := start()
+	require.Less(t, surge(f), 12, "the day begins: what comes then is what there is to bear")
+
+	f = start()
+	require.Zero(t, across(f.fill(30)))
+	f.pass(10 * sec)
+	require.Greater(t, surge(f), 16)
+	f.pass(20 * sec)
+	require.Less(t, across(f.fill(10)), 4, "borne well meanwhile, so that it is nothing new")
+}
