After an heir that ends before it serves, the old process can be found again

Seen by a new test (an heir that connects, hangs and ends): the next process logs that nobody is found, the old one leaves with heir=false and moves all its clients. At fault: heirGone in internal/proxy/succeed.go, which gave up the seat, and accept, which returns before it takes one where the door was never left. Ruled out: the hung one's packet, which is read and dropped.

--- a/internal/proxy/admin_test.go
+++ b/internal/proxy/admin_test.go
@@ -133,3 +133,43 @@
 	require.NoError(t, s.proxy.Rejoin(context.Background()), "too late: it is leaving")
 	require.NoError(t, <-s.ended)
 }
+
+// The list's drain and a new file count while the proxy itself is drained, too.
+func TestWhileItEvacuatesItFollowsTheListAndTakesANewFile(t *testing.T) {
+	s, servers := playBook(t, unprobed, 1024, (*proxy.Proxy).Tell, "UP a", "UP b")
+	require.NoError(t, s.proxy.Evacuate(context.Background()))
+	s.list.Set("s0", servers[0].Address, "draining")
+	s.shows("cluster_size 2", "cluster_unhealthy 1")
+	s.retune(strings.Replace(unprobed, "0.name=chat", "0.name=chat-2", 1), "chat-2", "pay")
+	s.shows("conf_loaded 1")
+	s.pings("ERR not ready")
+	require.NoError(t, s.proxy.Rejoin(context.Background()))
+	s.pings("PONG")
+	for range 4 {
+		s.open("c=chat-2,d=1500").hears("UP b")
+	}
+	s.open("c=chat,d=1500").hears("ERR the class is unknown")
+	require.Empty(t, servers[0].Lines())
+}
+
+func TestClientsThatDoNotReadAreMovedAllTheSame(t *testing.T) {
+	s, _ := playBook(t, unprobed, 1024, (*proxy.Proxy).Tell, "UP a")
+	var deaf []*caller
+	for range 5 {
+		c := s.open("c=chat,d=1500")
+		deaf = append(deaf, c)
+	}
+	s.shows("current 5", `transactions{group="chat",state="answered"} 5`)
+	go func() { // and say more all the while
+		for range 50 {
+			for _, c := range deaf {
+				_, _ = c.Write([]byte("M 1\r\n"))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	began := time.Now()
+	require.NoError(t, s.proxy.Evacuate(context.Background()))
+	s.shows("current 0")
+	require.Less(t, time.Since(began), 3*time.Second)
+}
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -121,19 +121,26 @@
 			}
 		}
 	}()
-	if h.seat == nil && h.folder != "" {
-		seat, err := succession.Take(h.folder, func(c *succession.Channel) { p.post(func() { p.heirComes(c) }) })
-		if err != nil {
-			p.log.Warn("the next process will not find this one", "error", err)
-			h.folder = ""
-		}
-		h.seat = seat
-	}
+	p.takeSeat()
 	if h.before != nil {
 		p.sayNext(h.before, packet{Ready: true})
 	}
 }
 
+// takeSeat has the next process find this one.
+func (p *Proxy) takeSeat() {
+	h := p.heritage
+	if h.seat != nil || h.folder == "" {
+		return
+	}
+	seat, err := succession.Take(h.folder, func(c *succession.Channel) { p.post(func() { p.heirComes(c) }) })
+	if err != nil {
+		p.log.Warn("the next process will not find this one", "error", err)
+		h.folder = ""
+	}
+	h.seat = seat
+}
+
 func (p *Proxy) stopAccepting() {
 	if h := p.heritage; h != nil && h.accepting {
 		h.accepting = false
@@ -262,11 +269,17 @@
 	}
 	h.heir, h.ready = nil, false
 	p.log.Warn("the other process has gone")
-	if h.seat != nil { // the name is that one's
-		h.seat.Leave()
-		h.seat = nil
-	}
+	old := h.seat // the name may be that one's
+	h.seat = nil
 	p.accept()
+	if h.accepting {
+		// Guards against an heir that ends before it serves: the door was never left, but the seat was, and the
+		// process after it would find nobody. The new seat comes before the old one goes, so that there always is one.
+		p.takeSeat()
+	}
+	if old != nil {
+		old.Leave()
+	}
 }
 
 // inherits tells that another process takes over what this one holds.
--- a/internal/proxy/succeed_test.go
+++ b/internal/proxy/succeed_test.go
@@ -15,6 +15,7 @@
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/opening"
 	"hatchproxy/internal/proxy"
+	"hatchproxy/internal/succession"
 	"hatchproxy/lab/fleet"
 	"hatchproxy/logic"
 )
@@ -218,3 +219,57 @@
 	require.NoError(t, err)
 	require.ErrorContains(t, new(proxy.Proxy).Inherit(fd, ""), "descriptor ")
 }
+
+// A server's drain that is told after the yes and before SIGTERM: either process may still send, and neither does.
+func TestADrainToldInBetweenBindsBothProcesses(t *testing.T) {
+	h := newHouse(t)
+	other, err := fleet.NewPuppet(func(string) string { return "UP b" })
+	require.NoError(t, err)
+	first := h.start()
+	c := first.open("c=chat,d=1500")
+	c.hears("UP a")
+	second := h.start()
+	h.list.Set("s1", other.Address, "ready")
+	h.list.Set("s0", h.server.Address, "draining")
+	first.shows("cluster_size 2", "cluster_unhealthy 1")
+	second.shows("cluster_size 2", "cluster_unhealthy 1")
+	c.hears("MOVE") // by the process that holds it
+	for range 4 {
+		second.open("c=chat,d=1500").hears("UP b")
+	}
+	first.leave <- syscall.SIGTERM
+	first.endsWithin(3 * time.Second)
+	second.open("c=chat,d=1500").hears("UP b")
+	require.Len(t, h.server.Lines(), 1)
+}
+
+// One that finds the old process, hangs and then ends never said that it can serve: the next one found nobody.
+func TestAnHeirThatHangsTakesNothing(t *testing.T) {
+	h := newHouse(t)
+	first := h.start()
+	c := first.open("c=chat,d=1500")
+	c.hears("UP a")
+	hung, err := succession.Find(h.folder)
+	require.NoError(t, err)
+	for range 3 {
+		first.open("c=chat,d=1500").hears("UP a")
+	}
+	require.NoError(t, hung.Send([]byte("no packet of ours")))
+	first.open("c=pay,d=1500").hears("UP a")
+	h.eventually(func() bool { return findable(h.folder) })
+	second := h.start()
+	first.leave <- syscall.SIGTERM
+	first.endsWithin(3 * time.Second)
+	second.current(5)
+	c.says("M 1\r\n")
+	c.hears("M 1")
+	hung.Close()
+}
+
+func findable(folder string) bool {
+	c, err := succession.Find(folder)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
