Proxies probe for lateness where promised delays are never told, and keep groups together

Groups: servers of one zone held 1 to 33 connections; the order of homes is lost in the chance of ties (logic.go, cost). Ruled out: set-ups, CPU, relay, list, a larger penalty for late servers. Changed: delays count as told once a series was heard, until then probes and no guesses; the groups' order counts four times where a proxy holds less than one connection a server; returned clients go free of unheard servers only where delays are told; strain is out.

--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -54,8 +54,10 @@
 	return last > 0 && now-last > every-jitter && now-last < every+jitter
 }
 
-// Hear says what a figure means that came on one of so many connections that stand at the server.
-func (s *Server) Hear(now logic.Micros, c *Conn, standing int, figure float64) Meaning {
+// Hear says what a figure means that came on one of so many connections that stand at the server. A first small one is
+// taken for a delay only where delays are known to be told. Guards against small loads that are taken for lateness
+// in a fleet whose settings promise delays and whose servers tell none.
+func (s *Server) Hear(now logic.Micros, c *Conn, standing int, told bool, figure float64) Meaning {
 	if inTime(now, s.at) && (s.on == c || s.on == nil) && figure < longest {
 		s.on, s.at, s.sure = c, now, true
 		if figure < s.from {
@@ -70,7 +72,7 @@
 		return Both
 	}
 	running := s.sure && s.at > 0 && now-s.at <= every+jitter
-	if small && !running && standing <= few && now-c.Since > atOnce && (c.Load == 0 || figure < c.Load/drop) {
+	if told && small && !running && standing <= few && now-c.Since > atOnce && (c.Load == 0 || figure < c.Load/drop) {
 		s.on, s.at, s.sure = c, now, false
 		return Delay
 	}
--- a/internal/opening/book.go
+++ b/internal/opening/book.go
@@ -137,14 +137,15 @@
 		return nil, err
 	}
 	leave := logic.Leave{Dispatches: int(f[7]), Through: p["family-info.mode"] == "pass",
-		Probes: p["limits.probes"] == "true" && p["family-info.tells-delay"] != "true" &&
-			p["family-info.message-aim-ms"] != ""}
+		Probes: p["limits.probes"] == "true" && p["family-info.message-aim-ms"] != ""}
 	if p["limits.retry-after"] == "true" {
 		leave.Advice = Millis(f[9])
 	}
-	return logic.New(int64(seed), int(f[0]), int(f[10]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
+	b := logic.New(int64(seed), int(f[0]), int(f[10]), logic.ZoneID(f[1]), products, weighings[p["weight-kind"]],
 		logic.Listing{Subscribe: p["membership-mode"] == "subscribe", Within: Millis(f[2]), Unproven: unproven},
-		logic.ColdRule{Start: f[3], Warm: Millis(f[4]), Multiple: f[5], Window: Millis(f[6])}, leave, f[8], f[11]), nil
+		logic.ColdRule{Start: f[3], Warm: Millis(f[4]), Multiple: f[5], Window: Millis(f[6])}, leave, f[8], f[11])
+	b.HearDelays(p["family-info.tells-delay"] == "true")
+	return b, nil
 }
 
 // Fill is the place, in the load reports that come with probes, of a server's load over what it can do; -1 if none is told.
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -258,10 +258,15 @@
 func (p *Paper) Known() []byte { return p.known }
 
 // Balancer makes the instance of the decisions. On sockets the list is always one that must be asked for:
-// where the simulator brings changes unasked, nothing would come, and drains would be missed.
+// where the simulator brings changes unasked, nothing would come, and drains would be missed. And delays count as told
+// once some have come: there are fleets whose settings promise them and whose servers tell none.
 func (p *Paper) Balancer() (*logic.Balancer, error) {
 	p.book["membership-mode"] = "subscribe"
-	return p.book.Balancer(p.seed)
+	b, err := p.book.Balancer(p.seed)
+	if err == nil {
+		b.HearDelays(false)
+	}
+	return b, err
 }
 
 // TellsDelay says whether servers tell how long their messages take.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,16 +44,17 @@
 
 	rereading sync.Mutex // guards reread, which is called beside the loop
 
-	host    *host.Host
-	in      *host.Instance
-	offers  map[string]offer // the classes
-	longest logic.Micros     // the longest hard limit that has held
-	zones   map[string]logic.ZoneID
-	models  map[string]logic.ModelID
-	dialing logic.Micros
-	late    logic.Micros // what a message takes at a server that is told to be late
-	delays  bool         // servers tell delays beside loads
-	most    int          // sockets
+	host        *host.Host
+	in          *host.Instance
+	offers      map[string]offer // the classes
+	longest     logic.Micros     // the longest hard limit that has held
+	zones       map[string]logic.ZoneID
+	models      map[string]logic.ModelID
+	dialing     logic.Micros
+	late        logic.Micros // what a message takes at a server that is told to be late
+	delays      bool         // the settings say that servers tell delays beside loads
+	delaysHeard int          // series of them heard, less figures that were wrongly taken for one
+	most        int          // sockets
 
 	clients  map[logic.AttachmentID]*client
 	ids      map[uint64]bool // that clients in hand came with
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -66,22 +66,37 @@
 		p.in.LoadChanged(now, c.id, x)
 		return
 	}
-	switch s.figures.Hear(now, &c.figures, s.standing, x) {
+	switch s.figures.Hear(now, &c.figures, s.standing, p.delaysHeard > 0, x) {
 	case notes.Load:
 		p.in.LoadChanged(now, c.id, x)
 	case notes.Both:
+		p.tellsDelays(1)
 		p.in.LoadChanged(now, c.id, c.figures.Load)
 		p.messagesTake(now, s, x)
 	case notes.Delay:
 		p.messagesTake(now, s, x)
 		p.after(notes.Settles, func() {
-			if s.figures.Settled(p.now(), &c.figures, now, x) && !c.over {
+			if !s.figures.Settled(p.now(), &c.figures, now, x) {
+				return
+			}
+			p.tellsDelays(-1)
+			if !c.over {
 				p.in.LoadChanged(p.now(), c.id, x)
 			}
 		})
 	}
 }
 
+// sureOfDelays bounds how long a proxy goes on believing that delays are told after the last series of them.
+const sureOfDelays = 4
+
+// tellsDelays counts a series of delays, or a figure that was taken for one and was none. While more of the former were
+// heard, nobody is probed.
+func (p *Proxy) tellsDelays(by int) {
+	p.delaysHeard = min(max(p.delaysHeard+by, 0), sureOfDelays)
+	p.in.HearDelays(p.delaysHeard > 0)
+}
+
 func (p *Proxy) messagesTake(now logic.Micros, s *server, ms float64) {
 	p.in.Delay(now, s.id, logic.Micros(ms*float64(millisecond)))
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,32 +25,30 @@
 	weighing         Weighing
 	proxies          float64 // instances that place on the same servers, this one included
 
-	servers      []*server // in the order of the list
-	byID         map[ServerID]*server
-	next         int     // rotating start of the scan, at first the own index
-	out, ready   int     // dispatches out; ready servers
-	weight       float64 // their mean weight
-	setup, unit  pace    // time of a set-up; load of a connection, microseconds a second
-	crowd        float64 // share of the known servers that are late or passed over, at most; wearing off
-	home         float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
-	ways         []way   // to the zones, by their numbers
-	borne        float64 // what a size of the own zone was seen to bear well, in mean connections
-	worth        float64 // mean gain of a unit of load
-	told         [2]bool
-	rate, placed float64
-	holders      map[ClientKey]ServerID
-	own          int             // connections
-	members      map[GroupID]int // those of each group
-	models       map[ModelID]*kind
-	loads        map[ClientKey]float64 // of clients that may come again
-	// When a set-up stood last; when the timer is due; when it was due first.
-	stood, nextTick, began Micros
-	failing                []ServerID // servers on which a set-up failed since the last that stood
-	shares                 []float64
-	errands                []Errand
-	reports                bool    // answers to probes tell a server's fill
-	fill, perSize          float64 // means of fresh reports, and of own units per size there; 0 if there are few
-	asked, probes          int     // the last server asked for its fill; probes that connections have paid for
+	servers         []*server // in the order of the list
+	byID            map[ServerID]*server
+	next            int     // rotating start of the scan, at first the own index
+	out, ready      int     // dispatches out; ready servers
+	weight          float64 // their mean weight
+	setup, unit     pace    // time of a set-up; load of a connection, microseconds a second
+	crowd           float64 // share of the known servers that are late or passed over, at most; wearing off
+	home            float64 // the same of the own zone, 1 from a quarter on, wearing off more slowly
+	ways            []way   // to the zones, by their numbers
+	worth           float64 // mean gain of a unit of load
+	told            [2]bool
+	rate, placed    float64
+	holders         map[ClientKey]ServerID
+	own             int             // connections
+	members         map[GroupID]int // those of each group
+	models          map[ModelID]*kind
+	loads           map[ClientKey]float64 // of clients that may come again
+	stood, nextTick Micros                // when a set-up stood last; when the timer is due
+	failing         []ServerID            // servers on which a set-up failed since the last that stood
+	shares          []float64
+	errands         []Errand
+	reports, delays bool    // answers to probes tell a server's fill; late messages are told of
+	fill, perSize   float64 // means of fresh reports, and of own units per size there; 0 if there are few
+	asked, probes   int     // the last server asked for its fill; probes that connections have paid for
 }
 
 // kind sums up what is known of the servers of a model.
@@ -360,17 +358,21 @@
 	if a.Group != 0 && s.groups[a.Group] == 0 {
 		// Guards against as many homes of a group as there are proxies: all know the same order of servers.
 		share := float64(b.members[a.Group]+1) / float64(b.own+10)
-		step := homing
+		step, most := homing, groupUnits
+		if b.own < b.ready {
+			step, most = step*4, most*4 // own counts tell next to nothing, and chance spread the groups
+		}
 		if a.Back {
 			step /= 4 // its last server was likely an early one, and is in trouble
 		}
-		u += min(groupUnits, groupUnits/b.proxies+step*place(a.Group, s.ID)/share)
+		u += min(most, groupUnits/b.proxies+step*place(a.Group, s.ID)/share)
 	}
 	if s.late(now) {
 		u++ // one more connection's worth; three, or none, did worse on fleets of all sizes
 	}
-	if a.Back && b.own <= few && len(s.standing) == 0 && !b.isCold(now, s) {
+	if a.Back && !b.probing() && b.own <= few && len(s.standing) == 0 && !b.isCold(now, s) {
 		// Guards against clients sent off a late server and back to it by proxies that have heard nothing of it.
+		// Where probes are all there is, it scattered groups and did harm.
 		u += unheard
 	}
 	return u / b.size(s)
@@ -495,11 +497,8 @@
 	for i := range b.ways {
 		b.ways[i].all, b.ways[i].bad = 0, 0
 	}
-	var gain, units, fills, held, sizes, faith, ownUnits, ownSize float64
+	var gain, units, fills, held, sizes, faith float64
 	for _, s := range b.servers {
-		if s.state == Ready && s.zone == b.zone {
-			ownUnits, ownSize = ownUnits+s.units, ownSize+b.size(s)
-		}
 		if s.state == Ready && s.reported(now) {
 			fills, held = fills+s.faith*s.fill, held+s.faith*s.units
 			sizes, faith = sizes+s.faith*b.size(s), faith+s.faith
@@ -537,8 +536,7 @@
 		}
 	}
 	b.crowd = max(min(bad-1, 1)*bad/(all+2), b.crowd*0.92) // one is no crowd, however few are known
-	strain := b.strain(now, ownUnits/max(ownSize, 0.01), ownBad == 0)
-	b.home = max(min(1, 4*ownBad/(own+2)), strain, b.home*(0.98-dear*max(0, b.crossing-0.03)))
+	b.home = max(min(1, 4*ownBad/(own+2)), b.home*(0.98-dear*max(0, b.crossing-0.03)))
 	if units > 0 {
 		b.worth = gain / units
 	}
@@ -548,20 +546,6 @@
 // at a price of a fifth, as before up to 0.03, where to forget it sooner cost up to 0.012.
 const dear = 0.18
 
-// strain tells how far the own zone holds more than it was seen to bear. Guards against a neighbour's clients
-// that come as it drains or dies: lateness tells of them once all has piled up. What comes in the first
-// seconds is taken as borne. It hurts, by crossings, where the zone bears more than it was ever asked to.
-func (b *Balancer) strain(now Micros, full float64, calm bool) float64 {
-	if b.began = cmp.Or(b.began, now); now-b.began < 4*Second {
-		b.borne = max(b.borne, full)
-	}
-	over := 2 * (full/(1.5*b.borne+few) - 1) // half more, and a little, is chance; all of it from twice that on
-	if calm {
-		b.borne += max(0, full-b.borne) / 12 // some 3 s, in which messages become late
-	}
-	return min(1, over)
-}
-
 // common tells that set-ups fail for a common cause, as a slow store: the last failed on several servers.
 // More make it worse, so they go out one at a time; each that stands takes one failure back.
 func (b *Balancer) common() bool { return len(b.failing) >= 2 }
@@ -800,10 +784,15 @@
 // learning is what a late word takes off the pace: a rough weight says least of a server's true speed.
 var learning = [...]float64{Unweighed: 0.1, ByNominalSize: 0.1, ByRoughSize: 0.2, ByLiveShare: 0.1}
 
+// HearDelays says whether servers tell how late messages are. While they do, nobody is probed for that.
+func (b *Balancer) HearDelays(told bool) { b.delays = told }
+
+func (b *Balancer) probing() bool { return b.leave.Probes && !b.delays }
+
 // sound probes the servers with own connections, as often as words on late messages come, where none come.
 func (b *Balancer) sound(now Micros) {
 	for _, s := range b.servers {
-		if b.leave.Probes && b.probes > 0 && len(s.standing) > 0 && now >= s.ProbeAt {
+		if b.probing() && b.probes > 0 && len(s.standing) > 0 && now >= s.ProbeAt {
 			b.probes--
 			s.ProbeAt = now + Second // half as often saw half as much, twice as often cost what it brought
 			b.errands = append(b.errands, Errand{Task: Probe, Server: s.ID})
@@ -849,7 +838,7 @@
 // Probed tells how long a server took to answer a probe. Each quickest answer beyond the first, and a quarter
 // for jitter, stands for the quoted time. Of two the quicker counts where the way is long or one was paused.
 func (b *Balancer) Probed(now Micros, id ServerID, took Micros) {
-	if s := b.byID[id]; s != nil && took > 0 && b.leave.Probes {
+	if s := b.byID[id]; s != nil && took > 0 && b.probing() {
 		s.Quick = min(cmp.Or(s.Quick, took), took)
 		seen := took
 		if s.zone != b.zone || took > pauses*s.Quick {
--- a/logic/types.go
+++ b/logic/types.go
@@ -92,7 +92,7 @@
 	Dispatches int    // for each product that says nothing else
 	Advice     Micros // a push back may ask the client to stay away for up to this
 	Through    bool   // packets pass through: connections outlive their proxy
-	Probes     bool   // servers may be probed, and nothing else tells of late messages
+	Probes     bool   // servers may be probed; they are while nothing else tells of late messages
 }
 
 // Memory is what an instance knows, for the one that takes its place on the same clock.
