Agents under drawn faults: judges, schedules cut down, and a voter that lost its disk waits

Agents dial from an address (from) and may be reached elsewhere than where they listen (reached). Found and mended: an agent with an empty folder began the log anew with its vote. With one cut off, one back without its disk and the third dead, the two led without what two of three had agreed on: answered commands lost (seen in the test with that behaviour kept as a bad program). Now an agent without a log takes no part until all others have told what they hold, or the leader has taken it out and in again (agent/founding.go). Ruled out on the way: 'answered and never seen' under slow links was the record ending before its last answer. Bad agents that agree with nobody are convicted of two leaders, changed and lost.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,7 +25,9 @@
 type Plan struct {
 	Name     string     // the agent's, the same after a restart
 	Listen   string     // where the tool and other agents reach it: a loopback address with a port
-	Log      string     // where the other agents' logs reach its own: the same
+	Log      string     // where it listens for the other agents' logs: the same
+	Reached  string     // where they reach that, if elsewhere: behind a translation of addresses
+	From     string     // the address that it calls other agents from; any if missing
 	Data     string     // the folder of its log, and of the instances' logs
 	Peer     []Peer     // the other agents
 	Instance []Instance // those that it keeps
@@ -79,6 +81,12 @@
 	name("name", p.Name)
 	loopback("listen", p.Listen)
 	loopback("log", p.Log)
+	if p.Reached != "" {
+		loopback("reached", p.Reached)
+	}
+	if from, err := netip.ParseAddr(p.From); p.From != "" && (err != nil || !from.IsLoopback()) {
+		faults = append(faults, fmt.Errorf("from: %q is no loopback address", p.From))
+	}
 	if p.Data == "" {
 		faults = append(faults, errors.New("data: the folder is missing"))
 	}
@@ -126,11 +134,7 @@
 // Run keeps the agent until ctx ends. Its instances go on without it.
 func Run(ctx context.Context, p *Plan, log *slog.Logger) error {
 	log = log.With("agent", p.Name)
-	peers := map[string]string{p.Name: p.Log}
-	for _, peer := range p.Peer {
-		peers[peer.Name] = peer.Log
-	}
-	journal, err := OpenJournal(p.Data, p.Name, peers)
+	journal, err := openJournal(p)
 	if err != nil {
 		return err
 	}
@@ -149,6 +153,8 @@
 		return errors.Join(err, journal.Close())
 	}
 	log.Info("serving", "listen", p.Listen, "instances", len(p.Instance), "peers", len(p.Peer))
+	founded := make(chan error, 1)
+	go func() { founded <- a.found(ctx) }()
 	a.awaitLog(ctx)
 	var keeping sync.WaitGroup
 	for _, i := range a.instances {
@@ -158,9 +164,18 @@
 		keeping.Go(func() { a.hear(ctx, peer) })
 	}
 	keeping.Go(func() { a.count(ctx) })
-	<-ctx.Done()
+	err = nil
+	select {
+	case <-ctx.Done():
+		err = <-founded
+	case err = <-founded:
+		if err == nil {
+			<-ctx.Done()
+		}
+	}
+	cancel()
 	keeping.Wait()
-	return errors.Join(surface(), journal.Close())
+	return errors.Join(err, surface(), journal.Close())
 }
 
 // waitForLog is how long an agent waits for a leader before it goes on with what it knows: instances whose machine
@@ -204,7 +219,7 @@
 
 // hear asks another agent whether it is there.
 func (a *Agent) hear(ctx context.Context, peer Peer) {
-	c := Dial(peer.Listen)
+	c := dialFrom(a.config.From, peer.Listen)
 	defer c.Close()
 	for {
 		call, cancel := context.WithTimeout(ctx, answering)
@@ -224,6 +239,7 @@
 type View struct {
 	Agent     string           `json:"agent"`
 	Leader    string           `json:"leader"`
+	Leads     bool             `json:"leads"` // this agent, in this term
 	Term      uint64           `json:"term"`
 	Applied   uint64           `json:"applied"`
 	Now       logic.Micros     `json:"now"`
@@ -253,7 +269,8 @@
 
 // view is what this agent knows by itself.
 func (a *Agent) view() View {
-	v := View{Agent: a.config.Name, Leader: a.journal.Leader(), Term: a.journal.Term(), Now: now(), Past: []wanted.Entry{}, Silent: []string{}}
+	leads, term := a.journal.Leads()
+	v := View{Agent: a.config.Name, Leader: a.journal.Leader(), Leads: leads, Term: term, Now: now(), Past: []wanted.Entry{}, Silent: []string{}}
 	states := map[string]members.State{}
 	a.roll(func(r roll) {
 		v.Members = r.All()
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -22,9 +23,12 @@
 
 // Journal is the replicated log of commands and the state that it leads to. It owns its files and its port.
 type Journal struct {
-	raft  *raft.Raft
-	store *boltdb.BoltStore
-	trans *raft.NetworkTransport
+	raft    *raft.Raft
+	store   *boltdb.BoltStore
+	trans   *raft.NetworkTransport
+	had     bool              // there was a log when it was opened
+	reached map[string]string // where the agents' logs reach each other, this one among them
+	gate    func()            // lets the other agents' logs in
 	*machine
 }
 
@@ -45,9 +49,28 @@
 	keptSnapshots = 2
 )
 
-// OpenJournal opens an agent's log in a folder. peers are all agents by name with the addresses where their logs are
-// reached, this one among them.
-func OpenJournal(folder, name string, peers map[string]string) (j *Journal, err error) {
+// layer is how logs reach each other: from the agent's own address, and under the one that it is known by.
+type layer struct {
+	*gate
+	from, reached string
+}
+
+type address string
+
+func (a address) Network() string { return "tcp" }
+func (a address) String() string  { return string(a) }
+
+// Addr is where the others reach this log.
+func (l layer) Addr() net.Addr { return address(l.reached) }
+
+// Dial calls another's.
+func (l layer) Dial(at raft.ServerAddress, within time.Duration) (net.Conn, error) {
+	return dialer(l.from, within).Dial("tcp", string(at))
+}
+
+// openJournal opens an agent's log in its folder. Where there is none yet, it takes no part until it is founded (founding.go).
+func openJournal(p *Plan) (j *Journal, err error) {
+	folder, name := p.Data, p.Name
 	at := filepath.Join(folder, "log.db")
 	_, missing := os.Stat(at)
 	// Guards against a file that a full disk has left half made: the next start would find it torn.
@@ -74,31 +97,28 @@
 	if err != nil {
 		return shut(err)
 	}
-	advertised, err := net.ResolveTCPAddr("tcp", peers[name])
+	had, err := raft.HasExistingState(store, store, snapshots)
 	if err != nil {
 		return shut(err)
 	}
-	trans, err := raft.NewTCPTransport(peers[name], advertised, 3, time.Second, io.Discard)
+	l, err := net.Listen("tcp", p.Log)
 	if err != nil {
 		return shut(err)
 	}
+	reached := map[string]string{name: cmp.Or(p.Reached, p.Log)}
+	for _, peer := range p.Peer {
+		reached[peer.Name] = peer.Log
+	}
+	g := &gate{Listener: l, open: make(chan struct{}), shut: make(chan struct{})}
+	trans := raft.NewNetworkTransport(layer{g, p.From, reached[name]}, 3, time.Second, io.Discard)
 	c := raft.DefaultConfig()
 	c.LocalID = raft.ServerID(name)
 	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = beat, beat, beat*2/3, 5*time.Millisecond
 	c.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})
-	j = &Journal{store: store, trans: trans, machine: &machine{changed: make(chan struct{})}}
-	had, err := raft.HasExistingState(store, store, snapshots)
-	if err != nil {
-		return shut(errors.Join(err, trans.Close()))
-	}
-	if !had {
-		var all raft.Configuration
-		for peer, address := range peers {
-			all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(peer), Address: raft.ServerAddress(address)})
-		}
-		if err := raft.BootstrapCluster(c, store, store, snapshots, trans, all); err != nil {
-			return shut(errors.Join(err, trans.Close()))
-		}
+	j = &Journal{store: store, trans: trans, had: had, reached: reached, gate: sync.OnceFunc(func() { close(g.open) }),
+		machine: &machine{changed: make(chan struct{})}}
+	if had {
+		j.gate()
 	}
 	if j.raft, err = raft.NewRaft(c, j.machine, store, store, snapshots, trans); err != nil {
 		return shut(errors.Join(err, trans.Close()))
@@ -143,6 +163,14 @@
 // Term is the present one.
 func (j *Journal) Term() uint64 { return j.raft.CurrentTerm() }
 
+// Leads tells whether this agent leads, and the term. A term that turns while it is asked counts as one not led.
+func (j *Journal) Leads() (bool, uint64) {
+	before := j.raft.CurrentTerm()
+	leads := j.raft.State() == raft.Leader
+	term := j.raft.CurrentTerm()
+	return leads && before == term, term
+}
+
 // View reads the state; the state is not to be kept or changed.
 func (j *Journal) View(read func(*wanted.State)) {
 	j.mu.Lock()
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -45,6 +45,21 @@
 		}
 		answer(w, http.StatusOK, a.whole(r.Context()))
 	})
+	mux.HandleFunc("GET "+v+"/log", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, holds{a.journal.raft.LastIndex(), a.journal.Term()})
+	})
+	mux.HandleFunc("POST "+v+"/voters", func(w http.ResponseWriter, r *http.Request) {
+		var c change
+		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody)).Decode(&c)
+		if err == nil {
+			err = a.voters(r.Context(), c, r.URL.Query().Get("passed") != "")
+		}
+		if err != nil {
+			answer(w, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
+			return
+		}
+		answer(w, http.StatusOK, c)
+	})
 	mux.HandleFunc("POST "+v+"/commands", a.command)
 	mux.HandleFunc("POST "+v+"/reload", a.reload)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
@@ -103,18 +118,26 @@
 }
 
 func (a *Agent) pass(ctx context.Context, c wanted.Command) (uint64, error) {
-	leader := a.journal.Leader()
-	at := slices.IndexFunc(a.config.Peer, func(p Peer) bool { return p.Name == leader })
-	if at < 0 {
-		return 0, errors.New("no agent leads now: fewer than half of them see each other, or one is being chosen")
+	leader, err := a.leader()
+	if err != nil {
+		return 0, err
 	}
-	client := Dial(a.config.Peer[at].Listen)
-	defer client.Close()
+	defer leader.Close()
 	var s said
-	err := client.call(ctx, http.MethodPost, "commands?passed=1", c, &s)
+	err = leader.call(ctx, http.MethodPost, "commands?passed=1", c, &s)
 	return s.Number, err
 }
 
+// leader is the other agent that leads.
+func (a *Agent) leader() (*Client, error) {
+	name := a.journal.Leader()
+	at := slices.IndexFunc(a.config.Peer, func(p Peer) bool { return p.Name == name })
+	if at < 0 {
+		return nil, errors.New("no agent leads now: fewer than half of them see each other, or one is being chosen")
+	}
+	return dialFrom(a.config.From, a.config.Peer[at].Listen), nil
+}
+
 // reload has all local instances read their configuration again; it is no state, and is not agreed on.
 func (a *Agent) reload(w http.ResponseWriter, r *http.Request) {
 	results := map[string]string{}
@@ -136,7 +159,7 @@
 	all.Wait()
 	if r.URL.Query().Get("all") != "" {
 		for _, p := range a.config.Peer {
-			c := Dial(p.Listen)
+			c := dialFrom(a.config.From, p.Listen)
 			theirs := map[string]string{}
 			ctx, cancel := context.WithTimeout(r.Context(), 2*fanning)
 			if err := c.call(ctx, http.MethodPost, "reload", nil, &theirs); err != nil {
@@ -161,7 +184,7 @@
 	var all sync.WaitGroup
 	for _, p := range a.config.Peer {
 		all.Go(func() {
-			c := Dial(p.Listen)
+			c := dialFrom(a.config.From, p.Listen)
 			defer c.Close()
 			theirs, err := c.view(ctx, "view")
 			mu.Lock()
@@ -191,8 +214,21 @@
 }
 
 // Dial names an agent by its address; nothing is sent yet.
-func Dial(address string) *Client {
-	return &Client{"http://" + address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}}
+func Dial(address string) *Client { return dialFrom("", address) }
+
+// dialFrom has the calls go out from an address.
+func dialFrom(from, address string) *Client {
+	return &Client{"http://" + address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true,
+		DialContext: dialer(from, slowest).DialContext}}}
+}
+
+// dialer calls from an address, or from any.
+func dialer(from string, within time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: within}
+	if from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
+	}
+	return d
 }
 
 // Close gives its idle connections back.
@@ -212,6 +248,9 @@
 	return v, c.call(ctx, http.MethodGet, path, nil, &v)
 }
 
+// View is what the agent knows by itself.
+func (c *Client) View(ctx context.Context) (View, error) { return c.view(ctx, "view") }
+
 // Whole is what all agents know together, as far as they answer.
 func (c *Client) Whole(ctx context.Context) (View, error) { return c.view(ctx, "view?all=1") }
 
--- /dev/null
+++ b/lab/chaos/chaos_test.go
@@ -0,0 +1,204 @@
+package chaos_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+	boltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/agent"
+	"hatchproxy/agent/wanted"
+	"hatchproxy/lab/chaos"
+)
+
+// The test's own program plays the agents: the real one, and two that are bad on purpose.
+func TestMain(m *testing.M) {
+	role := os.Getenv("HATCH_ROLE")
+	if role == "" {
+		os.Exit(m.Run())
+	}
+	plan, err := agent.ReadPlan(os.Args[1])
+	switch {
+	case err != nil:
+	case role == "liar":
+		err = lie(plan)
+	case role == "forgetful":
+		if err = forget(plan); err != nil {
+			break
+		}
+		fallthrough
+	default:
+		err = agent.Run(context.Background(), plan, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(2)
+}
+
+// forget begins the log as agents once did whose folder was empty: with its vote, whatever it had before.
+func forget(p *agent.Plan) error {
+	if _, err := os.Stat(p.Data); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(p.Data, 0o700); err != nil {
+		return err
+	}
+	store, err := boltdb.NewBoltStore(filepath.Join(p.Data, "log.db"))
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	snapshots, err := raft.NewFileSnapshotStore(p.Data, 2, os.Stderr)
+	if err != nil {
+		return err
+	}
+	all := raft.Configuration{Servers: []raft.Server{{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Reached)}}}
+	for _, peer := range p.Peer {
+		all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(peer.Name), Address: raft.ServerAddress(peer.Log)})
+	}
+	c := raft.DefaultConfig()
+	c.LocalID = raft.ServerID(p.Name)
+	_, trans := raft.NewInmemTransport("")
+	return raft.BootstrapCluster(c, store, store, snapshots, trans, all)
+}
+
+// lie leads for itself and agrees with nobody.
+func lie(p *agent.Plan) error {
+	var mu sync.Mutex
+	v := agent.View{Agent: p.Name, Leads: true, Term: 2}
+	return http.ListenAndServe(p.Listen, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.Method == http.MethodPost {
+			var c wanted.Command
+			_ = json.NewDecoder(r.Body).Decode(&c)
+			v.Applied++
+			v.Past = append(v.Past, wanted.Entry{Number: v.Applied, Command: c})
+			_ = json.NewEncoder(w).Encode(map[string]uint64{"number": v.Applied})
+			return
+		}
+		_ = json.NewEncoder(w).Encode(v)
+	}))
+}
+
+func raise(t *testing.T, role string, agents, sites int) *chaos.Machines {
+	own, err := os.Executable()
+	require.NoError(t, err)
+	folder := t.TempDir()
+	m, err := chaos.Raise([]string{"/usr/bin/env", "HATCH_ROLE=" + role, own}, folder, agents, sites, 1)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		m.Close()
+		for a := range agents {
+			if text, _ := os.ReadFile(filepath.Join(folder, fmt.Sprintf("a%d.log", a))); t.Failed() {
+				t.Logf("a%d: %s", a, text)
+			}
+		}
+	})
+	return m
+}
+
+// bound is the one that docs/faults.md derives.
+const bound = chaos.Bound
+
+func kinds(breaches []chaos.Breach) map[string]bool {
+	found := map[string]bool{}
+	for _, b := range breaches {
+		found[b.Kind] = true
+	}
+	return found
+}
+
+func TestEachKindOfFaultLeavesWhatWasAgreedOn(t *testing.T) {
+	for _, k := range chaos.Kinds {
+		t.Run(string(k), func(t *testing.T) {
+			t.Parallel()
+			agents := 3
+			if k == chaos.Ring {
+				agents = 5
+			}
+			m := raise(t, "agent", agents, 3)
+			r, err := m.Play(t.Context(), []chaos.Fault{{Kind: k, At: 100 * time.Millisecond, For: 1200 * time.Millisecond}})
+			require.NoError(t, err)
+			require.Empty(t, chaos.Judge(r, bound))
+			require.NotEmpty(t, r.Said)
+		})
+	}
+}
+
+func TestAgentsThatAgreeWithNobodyAreConvicted(t *testing.T) {
+	m := raise(t, "liar", 3, 3)
+	r, err := m.Play(t.Context(), []chaos.Fault{{Kind: chaos.Cut, For: 200 * time.Millisecond}})
+	require.NoError(t, err)
+	found := kinds(chaos.Judge(r, bound))
+	require.True(t, found["two leaders"] && found["changed"] && found["lost"], found)
+}
+
+// An agent lost its disk, came back with its vote, and helped one that had been cut off to lead without what two of three had
+// agreed on.
+func TestAVoterThatHasLostItsDiskDoesNotMakeTheOthersForget(t *testing.T) {
+	for role, good := range map[string]bool{"agent": true, "forgetful": false} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			m := raise(t, role, 3, 3)
+			r, err := m.Play(t.Context(), []chaos.Fault{
+				{Kind: chaos.Cut, At: 0, For: 3 * time.Second, On: 2},
+				{Kind: chaos.DiskLost, At: 2900 * time.Millisecond, For: 20 * time.Millisecond, On: 1},
+				{Kind: chaos.Crash, At: 2900 * time.Millisecond, For: 3 * time.Second, On: 0},
+			})
+			require.NoError(t, err)
+			breaches := chaos.Judge(r, bound)
+			if good {
+				require.Empty(t, breaches)
+				return
+			}
+			require.True(t, kinds(breaches)["lost"], "%v", breaches)
+		})
+	}
+}
+
+func TestTheJudgeSaysWhenNothingSettles(t *testing.T) {
+	require.True(t, kinds(chaos.Judge(chaos.Record{}, bound))["not settled"])
+	require.True(t, kinds(chaos.Judge(chaos.Record{Settled: bound + 1}, bound))["not settled"])
+	require.Empty(t, chaos.Judge(chaos.Record{Settled: bound}, bound))
+}
+
+func TestAScheduleIsCutDownToWhatBreaks(t *testing.T) {
+	drawn := chaos.Draw(7, 12, 3, 3, chaos.Kinds)
+	require.Equal(t, drawn, chaos.Draw(7, 12, 3, 3, chaos.Kinds), "one seed, one schedule")
+	short := chaos.Shorten(drawn, func(f []chaos.Fault) bool {
+		has := func(x chaos.Fault) bool {
+			for _, y := range f {
+				if x == y {
+					return true
+				}
+			}
+			return false
+		}
+		return has(drawn[3]) && has(drawn[8])
+	})
+	require.Equal(t, []chaos.Fault{drawn[3], drawn[8]}, short)
+}
+
+func TestTheFilesOfTheRepositoryCanBeReadAndWrongOnesAreToldWithTheirPlace(t *testing.T) {
+	for _, name := range []string{"three", "five"} {
+		f, err := chaos.ReadFile("../../experiments/chaos/" + name + ".toml")
+		require.NoError(t, err)
+		require.Len(t, f.Drawn(1), f.Faults)
+	}
+	path := filepath.Join(t.TempDir(), "f.toml")
+	require.NoError(t, os.WriteFile(path, []byte("agents = 4\nsites = 9\nfaults = 0\nsettles = 0.5\nkinds = [\"rain\"]\n"), 0o600))
+	_, err := chaos.ReadFile(path)
+	for _, word := range []string{"f.toml", "agents: 4", "sites: 9", "faults: 0", "settles: 0.5", "rain"} {
+		require.ErrorContains(t, err, word)
+	}
+}
--- a/lab/links/links.go
+++ b/lab/links/links.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"math/rand"
 	"net"
@@ -295,12 +294,3 @@
 	}
 	return b
 }
-
-// Reserve finds an address of a machine on which nobody listens.
-func Reserve(on netip.Addr) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(on.String(), "0"))
-	if err != nil {
-		return "", fmt.Errorf("no port is free on %s: %w", on, err)
-	}
-	return l.Addr().String(), l.Close()
-}
