An agent whose disk was set back is told by the others, and comes back as one that lost it

A restored copy of a voter's log has forgotten what it agreed to as a lost disk has. Agents remember the newest log that they heard each other tell of (with the half-second ping); one that starts opens its log only once most have answered that it is not older, else sets it aside and is taken in anew. Fault kind disk-old. Not told: a log that nobody who answers has heard, e.g. written in the last half second.

--- a/agent/founding.go
+++ b/agent/founding.go
@@ -1,11 +1,14 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -19,7 +22,11 @@
 //   - none holds more than the beginning: they begin together;
 //   - any holds more: the leader takes this agent out of the voters, which needs most of the others, and then in again, as one
 //     that holds nothing. Until both are agreed on it waits; instances are kept meanwhile with what is known.
-// A disk as it was some time before is not told from the right one by this.
+//
+// A disk that was set back to what it was before has forgotten as much. Agents remember of each other the newest log that
+// they have heard of; one whose own is older sets it aside and comes back as if it were lost. It asks until most have
+// answered, without whom nothing could be agreed on anyway. It cannot be told where those that answer have been started anew
+// since, or have not heard of what was written last (they ask twice a second).
 
 // knock is how often the others are asked.
 const knock = 100 * time.Millisecond
@@ -32,6 +39,15 @@
 	shut chan struct{}
 }
 
+func (g *gate) opened() bool {
+	select {
+	case <-g.open:
+		return true
+	default:
+		return false
+	}
+}
+
 func (g *gate) Accept() (net.Conn, error) {
 	select {
 	case <-g.open:
@@ -46,18 +62,113 @@
 	return g.Listener.Close()
 }
 
-// holds is what an agent tells of its log.
+// holds is what an agent tells of a log.
 type holds struct {
-	Last uint64 `json:"last"`
-	Term uint64 `json:"term"`
+	Term  uint64 `json:"term"`  // that it knows
+	Entry uint64 `json:"entry"` // the term of its last entry
+	Last  uint64 `json:"last"`
+}
+
+// older tells whether a log must have been set back, if the other was the same agent's before. Terms only rise. So do last
+// entries by term and number, but for the moments in which a leader replaces more than it sends at once; then the log
+// is fetched anew for nothing.
+func (h holds) older(other holds) bool {
+	return cmp.Or(cmp.Compare(h.Term, other.Term), cmp.Compare(h.Entry, other.Entry), cmp.Compare(h.Last, other.Last)) < 0
 }
 
 // begun says that there is no more than the beginning in which all voters are named: nobody has been voted for.
 func (h holds) begun() bool { return h.Last <= 1 && h.Term <= 1 }
 
-// found brings an agent without a log to one. It returns when it takes part.
+// errSetBack says that the log is an older one of this agent's.
+var errSetBack = errors.New("the log is older than what other agents have heard of it: its disk was set back")
+
+// proveLog asks the other agents what they have heard of this one's log, and opens it if it is none that was set back.
+func (a *Agent) proveLog(ctx context.Context) error {
+	own := a.journal.holds()
+	for {
+		heard := 1
+		for _, p := range a.config.Peer {
+			h, err := a.askLog(ctx, p, a.config.Name)
+			if err != nil {
+				continue
+			}
+			heard++
+			if own.older(h) {
+				a.log.Warn("an older log", "heard by", p.Name, "term", h.Term, "last", h.Last, "term here", own.Term, "last here", own.Last)
+				return errSetBack
+			}
+		}
+		if 2*heard > len(a.config.Peer)+1 {
+			a.journal.gate()
+			return nil
+		}
+		select {
+		case <-time.After(knock):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// askLog asks an agent for its log's state, or for the newest that it has heard of another's.
+func (a *Agent) askLog(ctx context.Context, p Peer, of string) (h holds, err error) {
+	c := dialFrom(a.config.From, p.Listen)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(ctx, answering)
+	defer cancel()
+	err = c.call(ctx, http.MethodGet, "log?of="+of, nil, &h)
+	return h, err
+}
+
+// holds tells of this agent's log.
+func (j *Journal) holds() holds {
+	var h holds
+	h.Term, h.Last = j.raft.CurrentTerm(), j.raft.LastIndex()
+	var l raft.Log
+	if j.store.GetLog(h.Last, &l) == nil { // else it is in a snapshot: 0 is never newer
+		h.Entry = l.Term
+	}
+	return h
+}
+
+// hearLog remembers the newest log that another agent has told of.
+func (a *Agent) hearLog(name string, h holds) {
+	a.rollMu.Lock()
+	defer a.rollMu.Unlock()
+	if a.logs[name].older(h) {
+		a.logs[name] = h
+	}
+}
+
+// tellLog answers what is asked of a log.
+func (a *Agent) tellLog(of string) holds {
+	if of == "" || of == a.config.Name {
+		return a.journal.holds()
+	}
+	a.rollMu.Lock()
+	defer a.rollMu.Unlock()
+	return a.logs[of]
+}
+
+// setAside takes an older log out of the way; nothing of it is lost.
+func setAside(folder string) error {
+	old := filepath.Join(folder, fmt.Sprintf("set-back-%d", time.Now().UnixMicro()))
+	if err := os.Mkdir(old, 0o700); err != nil {
+		return err
+	}
+	err := os.Rename(filepath.Join(folder, "log.db"), filepath.Join(old, "log.db"))
+	if more := os.Rename(filepath.Join(folder, "snapshots"), filepath.Join(old, "snapshots")); !os.IsNotExist(more) {
+		err = errors.Join(err, more)
+	}
+	return err
+}
+
+// found brings an agent without a log to one, and has one that has a log prove it. It returns when it takes part.
 func (a *Agent) found(ctx context.Context) error {
-	for !a.journal.had {
+	if a.journal.had {
+		return a.proveLog(ctx)
+	}
+	for {
 		more, all := a.askAll(ctx)
 		switch {
 		case more:
@@ -68,10 +179,7 @@
 			a.log.Warn("this agent had lost its log and was taken in anew")
 			return nil
 		case all:
-			if err := a.journal.begin(); err != nil {
-				return err
-			}
-			return nil
+			return a.journal.begin()
 		}
 		select {
 		case <-time.After(knock):
@@ -79,19 +187,13 @@
 			return nil
 		}
 	}
-	return nil
 }
 
 // askAll asks the other agents what they hold: whether any holds more than the beginning, and whether all have answered.
 func (a *Agent) askAll(ctx context.Context) (more, all bool) {
 	all = true
 	for _, p := range a.config.Peer {
-		c := dialFrom(a.config.From, p.Listen)
-		call, cancel := context.WithTimeout(ctx, answering)
-		var h holds
-		err := c.call(call, http.MethodGet, "log", nil, &h)
-		cancel()
-		c.Close()
+		h, err := a.askLog(ctx, p, "")
 		more, all = more || err == nil && !h.begun(), all && err == nil
 	}
 	return more, all
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -65,6 +65,9 @@
 
 // Dial calls another's.
 func (l layer) Dial(at raft.ServerAddress, within time.Duration) (net.Conn, error) {
+	if !l.opened() {
+		return nil, errors.New("this agent takes no part yet")
+	}
 	return dialer(l.from, within).Dial("tcp", string(at))
 }
 
@@ -117,9 +120,6 @@
 	c.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})
 	j = &Journal{store: store, trans: trans, had: had, reached: reached, gate: sync.OnceFunc(func() { close(g.open) }),
 		machine: &machine{changed: make(chan struct{})}}
-	if had {
-		j.gate()
-	}
 	if j.raft, err = raft.NewRaft(c, j.machine, store, store, snapshots, trans); err != nil {
 		return shut(errors.Join(err, trans.Close()))
 	}
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -45,8 +45,8 @@
 		}
 		answer(w, http.StatusOK, a.whole(r.Context()))
 	})
-	mux.HandleFunc("GET "+v+"/log", func(w http.ResponseWriter, _ *http.Request) {
-		answer(w, http.StatusOK, holds{a.journal.raft.LastIndex(), a.journal.Term()})
+	mux.HandleFunc("GET "+v+"/log", func(w http.ResponseWriter, r *http.Request) {
+		answer(w, http.StatusOK, a.tellLog(r.URL.Query().Get("of")))
 	})
 	mux.HandleFunc("POST "+v+"/voters", func(w http.ResponseWriter, r *http.Request) {
 		var c change
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -5,9 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -32,18 +36,43 @@
 	case err != nil:
 	case role == "liar":
 		err = lie(plan)
-	case role == "forgetful":
-		if err = forget(plan); err != nil {
+	case role == "trusting":
+		if err = trust(plan); err != nil {
 			break
 		}
 		fallthrough
-	default:
-		err = agent.Run(context.Background(), plan, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
+	case role == "agent":
+		err = run(plan)
+	case role == "forgetful":
+		if err = forget(plan); err == nil {
+			err = run(plan)
+		}
 	}
 	fmt.Fprintln(os.Stderr, err)
 	os.Exit(2)
 }
 
+func run(p *agent.Plan) error {
+	return agent.Run(context.Background(), p, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
+}
+
+// trust keeps an agent from telling others what it has heard of their logs: they take their own for the newest.
+func trust(p *agent.Plan) error {
+	l, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return err
+	}
+	p.Listen = strings.Replace(p.Listen, ":7400", ":7402", 1)
+	front := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) {
+		r.SetURL(&url.URL{Scheme: "http", Host: p.Listen})
+		if r.In.URL.Query().Get("of") != p.Name && strings.HasSuffix(r.In.URL.Path, "/log") && r.In.URL.Query().Get("of") != "" {
+			r.Out.URL.RawQuery = "of=nobody"
+		}
+	}}
+	go func() { _ = http.Serve(l, front) }()
+	return nil
+}
+
 // forget begins the log as agents once did whose folder was empty: with its vote, whatever it had before.
 func forget(p *agent.Plan) error {
 	if _, err := os.Stat(p.Data); err == nil {
@@ -143,21 +172,24 @@
 	require.True(t, found["two leaders"] && found["changed"] && found["lost"], found)
 }
 
-// An agent lost its disk, came back with its vote, and helped one that had been cut off to lead without what two of three had
-// agreed on.
-func TestAVoterThatHasLostItsDiskDoesNotMakeTheOthersForget(t *testing.T) {
-	for role, good := range map[string]bool{"agent": true, "forgetful": false} {
-		t.Run(role, func(t *testing.T) {
+// An agent lost its disk, or had it set back, came back with its vote, and helped one that had been cut off to lead without what
+// two of three had agreed on.
+func TestAVoterThatHasForgottenDoesNotMakeTheOthersForget(t *testing.T) {
+	ms := time.Millisecond
+	cut := chaos.Fault{Kind: chaos.Cut, For: 3500 * ms, On: 2}
+	lost := []chaos.Fault{cut, {Kind: chaos.DiskLost, At: 3400 * ms, For: 20 * ms, On: 1}, {Kind: chaos.Crash, At: 3400 * ms, For: 3000 * ms}}
+	old := []chaos.Fault{cut, {Kind: chaos.DiskOld, At: 1500 * ms, For: 1200 * ms, On: 1}, {Kind: chaos.Crash, At: 3400 * ms, For: 3000 * ms}}
+	for _, x := range []struct {
+		name, role string
+		faults     []chaos.Fault
+	}{{"lost", "agent", lost}, {"set back", "agent", old}, {"lost and begun anew", "forgetful", lost}, {"set back and trusted", "trusting", old}} {
+		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			m := raise(t, role, 3, 3)
-			r, err := m.Play(t.Context(), []chaos.Fault{
-				{Kind: chaos.Cut, At: 0, For: 3 * time.Second, On: 2},
-				{Kind: chaos.DiskLost, At: 2900 * time.Millisecond, For: 20 * time.Millisecond, On: 1},
-				{Kind: chaos.Crash, At: 2900 * time.Millisecond, For: 3 * time.Second, On: 0},
-			})
+			m := raise(t, x.role, 3, 3)
+			r, err := m.Play(t.Context(), x.faults)
 			require.NoError(t, err)
 			breaches := chaos.Judge(r, bound)
-			if good {
+			if x.role == "agent" {
 				require.Empty(t, breaches)
 				return
 			}
--- a/lab/chaos/machines.go
+++ b/lab/chaos/machines.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -134,6 +135,31 @@
 // LoseDisk takes what a crashed machine had on its disk.
 func (m *Machines) LoseDisk(a int) error { return os.RemoveAll(m.data(a)) }
 
+// KeepDisk copies a machine's disk in one instant, as a backup does; SetBackDisk lays the copy in the place of what a
+// crashed machine has.
+func (m *Machines) KeepDisk(a int) error {
+	m.Signal(a, syscall.SIGSTOP)
+	defer m.Signal(a, syscall.SIGCONT)
+	if err := os.RemoveAll(m.data(a) + ".kept"); err != nil {
+		return err
+	}
+	err := os.CopyFS(m.data(a)+".kept", os.DirFS(m.data(a)))
+	if errors.Is(err, fs.ErrNotExist) { // it has none just now
+		return nil
+	}
+	return err
+}
+
+func (m *Machines) SetBackDisk(a int) error {
+	if err := m.LoseDisk(a); err != nil {
+		return err
+	}
+	if err := os.Rename(m.data(a)+".kept", m.data(a)); !os.IsNotExist(err) {
+		return err
+	}
+	return nil
+}
+
 // Size is how many machines there are.
 func (m *Machines) Size() int { return len(m.names) }
 
--- a/lab/chaos/schedule.go
+++ b/lab/chaos/schedule.go
@@ -31,10 +31,11 @@
 	CrashAll Kind = "crash-all" // all within 50 ms, and back one by one
 	Stall    Kind = "stall"     // a machine stops and goes on
 	DiskLost Kind = "disk-lost" // a machine, and back with its disk empty
+	DiskOld  Kind = "disk-old"  // a machine, and back with its disk as it was at the fault's begin
 )
 
 // Kinds are all, in the order of their drawing.
-var Kinds = []Kind{Cut, OneWay, Deaf, Reset, Slow, Flap, Ring, SiteCut, Crash, CrashAll, Stall, DiskLost}
+var Kinds = []Kind{Cut, OneWay, Deaf, Reset, Slow, Flap, Ring, SiteCut, Crash, CrashAll, Stall, DiskLost, DiskOld}
 
 // Fault is one with its time.
 type Fault struct {
@@ -61,10 +62,10 @@
 	at, lost := 200*time.Millisecond, false
 	for range faults {
 		k := kinds[rng.Intn(len(kinds))]
-		if k == DiskLost && lost {
+		if (k == DiskLost || k == DiskOld) && lost {
 			k = Crash
 		}
-		lost = lost || k == DiskLost
+		lost = lost || k == DiskLost || k == DiskOld
 		on := rng.Intn(agents)
 		if k == SiteCut {
 			on = rng.Intn(sites)
@@ -159,6 +160,16 @@
 		}
 		rest(f.For)
 		return m.Start(f.On)
+	case DiskOld:
+		if err := m.KeepDisk(f.On); err != nil {
+			return err
+		}
+		rest(f.For)
+		m.Crash(f.On)
+		if err := m.SetBackDisk(f.On); err != nil {
+			return err
+		}
+		return m.Start(f.On)
 	case CrashAll:
 		for a := range m.names {
 			m.Crash(a)
