--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,13 +29,17 @@
 	Log      string     // where it listens for the other agents' logs: the same
 	Reached  string     // where they reach that, if elsewhere: behind a translation of addresses
 	From     string     // the address that it calls other agents from; any if missing
+	Hears    bool       // it has no vote at first: it hears what is agreed on
 	Data     string     // the folder of its log, and of the instances' logs
 	Peer     []Peer     // the other agents
 	Instance []Instance // those that it keeps
 }
 
 // Peer is another agent.
-type Peer struct{ Name, Listen, Log string }
+type Peer struct {
+	Name, Listen, Log string
+	Hears             bool // it has no vote at first
+}
 
 // Instance is one that the agent keeps.
 type Instance struct {
@@ -81,6 +86,9 @@
 	name("name", p.Name)
 	loopback("listen", p.Listen)
 	loopback("log", p.Log)
+	if p.Hears && len(p.voters()) == 0 {
+		faults = append(faults, errors.New("hears: no other agent votes"))
+	}
 	if p.Reached != "" {
 		loopback("reached", p.Reached)
 	}
@@ -157,7 +165,7 @@
 		a.there.Expect(now(), c.Name, "instance")
 		a.instances = append(a.instances, a.newInstance(c))
 	}
-	for _, peer := range p.Peer {
+	for _, peer := range a.followed() {
 		a.there.Expect(now(), peer.Name, "agent")
 	}
 	surface, err := a.serve(ctx)
@@ -172,7 +180,7 @@
 	for _, i := range a.instances {
 		keeping.Go(func() { i.run(ctx) })
 	}
-	for _, peer := range p.Peer {
+	for _, peer := range a.followed() {
 		keeping.Go(func() { a.hear(ctx, peer) })
 	}
 	keeping.Go(func() { a.count(ctx) })
@@ -229,6 +237,20 @@
 	}
 }
 
+// followed are the agents that this one asks whether they are there: all, or those that vote at first. Guards against calls
+// that grow with the square of the fleet.
+func (a *Agent) followed() []Peer {
+	if a.config.Hears {
+		return a.config.voters()
+	}
+	return a.config.Peer
+}
+
+// voters are the other agents that vote at first.
+func (p *Plan) voters() []Peer {
+	return slices.DeleteFunc(slices.Clone(p.Peer), func(other Peer) bool { return other.Hears })
+}
+
 // hear asks another agent whether it is there.
 func (a *Agent) hear(ctx context.Context, peer Peer) {
 	for {
@@ -252,6 +274,7 @@
 	Leader    string           `json:"leader"`
 	Leads     bool             `json:"leads"` // this agent, in this term
 	Term      uint64           `json:"term"`
+	Voters    []string         `json:"voters"` // as this agent has heard
 	Applied   uint64           `json:"applied"`
 	Now       logic.Micros     `json:"now"`
 	Members   []members.Member `json:"members"`
@@ -281,7 +304,7 @@
 // view is what this agent knows by itself.
 func (a *Agent) view() View {
 	leads, term := a.journal.Leads()
-	v := View{Agent: a.config.Name, Leader: a.journal.Leader(), Leads: leads, Term: term, Now: now(), Past: []wanted.Entry{}, Silent: []string{}}
+	v := View{Agent: a.config.Name, Leader: a.journal.Leader(), Leads: leads, Term: term, Voters: a.journal.voters(), Now: now(), Past: []wanted.Entry{}, Silent: []string{}}
 	states := map[string]members.State{}
 	a.roll(func(r roll) {
 		v.Members = r.All()
--- a/agent/founding.go
+++ b/agent/founding.go
@@ -23,6 +23,8 @@
 //   - any holds more: the leader takes this agent out of the voters, which needs most of the others, and then in again, as one
 //     that holds nothing. Until both are agreed on it waits; instances are kept meanwhile with what is known.
 //
+// One that only hears comes in by the second way, without a vote. Only those that vote at first are asked.
+//
 // A disk that was set back to what it was before has forgotten as much. Agents remember of each other the newest log that
 // they have heard of; one whose own is older sets it aside and comes back as if it were lost. It asks until most have
 // answered, without whom nothing could be agreed on anyway. It cannot be told where those that answer have been started anew
@@ -87,7 +89,7 @@
 	own := a.journal.holds()
 	for {
 		heard := 1
-		for _, p := range a.config.Peer {
+		for _, p := range a.config.voters() {
 			h, err := a.askLog(ctx, p, a.config.Name)
 			if err != nil {
 				continue
@@ -98,7 +100,7 @@
 				return errSetBack
 			}
 		}
-		if 2*heard > len(a.config.Peer)+1 {
+		if 2*heard > len(a.config.voters())+1 {
 			a.journal.gate()
 			return nil
 		}
@@ -191,8 +193,8 @@
 
 // askAll asks the other agents what they hold: whether any holds more than the beginning, and whether all have answered.
 func (a *Agent) askAll(ctx context.Context) (more, all bool) {
-	all = true
-	for _, p := range a.config.Peer {
+	all = !a.config.Hears // one that only hears begins nothing
+	for _, p := range a.config.voters() {
 		h, err := a.askLog(ctx, p, "")
 		more, all = more || err == nil && !h.begun(), all && err == nil
 	}
@@ -201,17 +203,20 @@
 
 // comeBack has the leader take this agent out, opens the log to the others, and has it taken in again.
 func (a *Agent) comeBack(ctx context.Context) error {
-	if err := a.ask(ctx, "leave"); err != nil {
+	if err := a.ask(ctx, "forget"); err != nil {
 		return err
 	}
 	a.journal.gate()
-	return a.ask(ctx, "join")
+	if a.config.Hears {
+		return a.ask(ctx, "demote")
+	}
+	return a.ask(ctx, "promote")
 }
 
 // ask asks any agent for a change of the voters that concerns this one.
 func (a *Agent) ask(ctx context.Context, what string) error {
 	var faults []error
-	for _, p := range a.config.Peer {
+	for _, p := range a.config.voters() {
 		c := dialFrom(a.config.From, p.Listen)
 		call, cancel := context.WithTimeout(ctx, 2*committing)
 		err := c.call(call, http.MethodPost, "voters", change{Name: a.config.Name, What: what}, nil)
@@ -228,20 +233,30 @@
 // change is one of the voters.
 type change struct {
 	Name string `json:"name"`
-	What string `json:"what"` // leave or join
+	What string `json:"what"` // promote, demote (it hears, without a vote) or forget
 }
 
 // voters has the leader change them; another agent passes it on once.
 func (a *Agent) voters(ctx context.Context, c change, passed bool) error {
-	at := slices.IndexFunc(a.config.Peer, func(p Peer) bool { return p.Name == c.Name })
-	if at < 0 || c.What != "leave" && c.What != "join" {
-		return fmt.Errorf("%q, %q: nobody, or nothing, of that name", c.Name, c.What)
+	at, known := a.journal.reached[c.Name]
+	if !known {
+		return fmt.Errorf("no agent is called %.40q", c.Name)
 	}
+	id, address := raft.ServerID(c.Name), raft.ServerAddress(at)
 	var f raft.IndexFuture
-	if c.What == "leave" {
-		f = a.journal.raft.RemoveServer(raft.ServerID(c.Name), 0, committing)
-	} else {
-		f = a.journal.raft.AddVoter(raft.ServerID(c.Name), raft.ServerAddress(a.config.Peer[at].Log), 0, committing)
+	switch c.What {
+	case "forget":
+		f = a.journal.raft.RemoveServer(id, 0, committing)
+	case "promote":
+		f = a.journal.raft.AddVoter(id, address, 0, committing)
+	case "demote":
+		if slices.Contains(a.journal.voters(), c.Name) {
+			f = a.journal.raft.DemoteVoter(id, 0, committing)
+		} else {
+			f = a.journal.raft.AddNonvoter(id, address, 0, committing)
+		}
+	default:
+		return fmt.Errorf("%.40q is none of promote, demote and forget", c.What)
 	}
 	err := f.Error()
 	if !errors.Is(err, raft.ErrNotLeader) || passed {
@@ -255,10 +270,29 @@
 	return leader.call(ctx, http.MethodPost, "voters?passed=1", c, nil)
 }
 
+// voters are those that vote, as this agent has heard; sorted.
+func (j *Journal) voters() []string {
+	names := []string{}
+	f := j.raft.GetConfiguration()
+	if f.Error() != nil {
+		return names
+	}
+	for _, s := range f.Configuration().Servers {
+		if s.Suffrage == raft.Voter {
+			names = append(names, string(s.ID))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // begin starts the log with all agents as voters, and opens it to them.
 func (j *Journal) begin() error {
 	var all raft.Configuration
 	for name, at := range j.reached {
+		if slices.Contains(j.hear, name) {
+			continue // it is taken in when it comes
+		}
 		all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(at)})
 	}
 	slices.SortFunc(all.Servers, func(x, y raft.Server) int {
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -28,6 +28,7 @@
 	trans   *raft.NetworkTransport
 	had     bool              // there was a log when it was opened
 	reached map[string]string // where the agents' logs reach each other, this one among them
+	hear    []string          // those that have no vote at first
 	gate    func()            // lets the other agents' logs in
 	*machine
 }
@@ -109,8 +110,12 @@
 		return shut(err)
 	}
 	reached := map[string]string{name: cmp.Or(p.Reached, p.Log)}
+	var hear []string
 	for _, peer := range p.Peer {
 		reached[peer.Name] = peer.Log
+		if peer.Hears {
+			hear = append(hear, peer.Name)
+		}
 	}
 	g := &gate{Listener: l, open: make(chan struct{}), shut: make(chan struct{})}
 	trans := raft.NewNetworkTransport(layer{g, p.From, reached[name]}, 3, time.Second, io.Discard)
@@ -118,7 +123,7 @@
 	c.LocalID = raft.ServerID(name)
 	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = beat, beat, beat*2/3, 5*time.Millisecond
 	c.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})
-	j = &Journal{store: store, trans: trans, had: had, reached: reached, gate: sync.OnceFunc(func() { close(g.open) }),
+	j = &Journal{store: store, trans: trans, had: had, reached: reached, hear: hear, gate: sync.OnceFunc(func() { close(g.open) }),
 		machine: &machine{changed: make(chan struct{})}}
 	if j.raft, err = raft.NewRaft(c, j.machine, store, store, snapshots, trans); err != nil {
 		return shut(errors.Join(err, trans.Close()))
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -260,6 +260,11 @@
 	return s.Number, c.call(ctx, http.MethodPost, "commands", command, &s)
 }
 
+// Voters changes who votes: what is promote, demote or forget.
+func (c *Client) Voters(ctx context.Context, what, name string) error {
+	return c.call(ctx, http.MethodPost, "voters", change{Name: name, What: what}, nil)
+}
+
 // Reload has all instances read their configuration again, and tells what each answered.
 func (c *Client) Reload(ctx context.Context) (map[string]string, error) {
 	results := map[string]string{}
--- a/cmd/hatchctl/tool.go
+++ b/cmd/hatchctl/tool.go
@@ -291,7 +291,7 @@
 }
 
 func (t *tool) membersCommand() *cobra.Command {
-	return &cobra.Command{
+	members := &cobra.Command{
 		Use: "members", Short: "Who is there: agents and instances, joining, alive, suspected, lost, back or left", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			v, err := t.view(c.Context())
@@ -300,6 +300,7 @@
 			}
 			t.print(c.OutOrStdout(), v.Members, func(w io.Writer) {
 				fmt.Fprintf(w, "agent %s answers; %q leads, term %d\n", v.Agent, v.Leader, v.Term)
+				fmt.Fprintf(w, "voters: %s\n", strings.Join(v.Voters, ", "))
 				fmt.Fprintln(w, "MEMBER\tKIND\tSTATE\tSINCE")
 				for _, m := range v.Members {
 					fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", m.Name, m.Kind, m.State, age(int64(v.Now-m.Since)))
@@ -308,6 +309,24 @@
 			return nil
 		},
 	}
+	for what, short := range map[string]string{
+		"promote": "Give an agent a vote", "demote": "Take an agent's vote; it goes on hearing what is agreed on",
+		"forget": "Take an agent out, as one whose machine is gone for good",
+	} {
+		members.AddCommand(&cobra.Command{
+			Use: what + " AGENT", Short: short, Args: cobra.ExactArgs(1),
+			Long: short + ". One at a time: each is agreed on by most voters before the next. Keep three or five.",
+			RunE: func(c *cobra.Command, args []string) error {
+				err := t.each(c.Context(), func(ctx context.Context, a *agent.Client) error { return a.Voters(ctx, what, args[0]) })
+				if err != nil {
+					return exit{notAgreed, err.Error()}
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", args[0], what)
+				return nil
+			},
+		})
+	}
+	return members
 }
 
 func (t *tool) ordersCommand() *cobra.Command {
--- a/cmd/hatchlab/chaos.go
+++ b/cmd/hatchlab/chaos.go
@@ -51,7 +51,7 @@
 			return chaos.Record{}, nil, err
 		}
 		defer os.RemoveAll(folder)
-		m, err := chaos.Raise([]string{binary, "serve", "--log-level", "warn"}, folder, f.Agents, f.Sites, seed)
+		m, err := chaos.Raise([]string{binary, "serve", "--log-level", "warn"}, folder, f.Agents, 0, f.Sites, seed)
 		if err != nil {
 			return chaos.Record{}, nil, err
 		}
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -120,11 +121,11 @@
 	}))
 }
 
-func raise(t *testing.T, role string, agents, sites int) *chaos.Machines {
+func raise(t *testing.T, role string, agents, hear, sites int) *chaos.Machines {
 	own, err := os.Executable()
 	require.NoError(t, err)
 	folder := t.TempDir()
-	m, err := chaos.Raise([]string{"/usr/bin/env", "HATCH_ROLE=" + role, own}, folder, agents, sites, 1)
+	m, err := chaos.Raise([]string{"/usr/bin/env", "HATCH_ROLE=" + role, own}, folder, agents, hear, sites, 1)
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		m.Close()
@@ -156,7 +157,7 @@
 			if k == chaos.Ring {
 				agents = 5
 			}
-			m := raise(t, "agent", agents, 3)
+			m := raise(t, "agent", agents, 0, 3)
 			r, err := m.Play(t.Context(), []chaos.Fault{{Kind: k, At: 100 * time.Millisecond, For: 1200 * time.Millisecond}})
 			require.NoError(t, err)
 			require.Empty(t, chaos.Judge(r, bound))
@@ -166,7 +167,7 @@
 }
 
 func TestAgentsThatAgreeWithNobodyAreConvicted(t *testing.T) {
-	m := raise(t, "liar", 3, 3)
+	m := raise(t, "liar", 3, 0, 3)
 	r, err := m.Play(t.Context(), []chaos.Fault{{Kind: chaos.Cut, For: 200 * time.Millisecond}})
 	require.NoError(t, err)
 	found := kinds(chaos.Judge(r, bound))
@@ -186,7 +187,7 @@
 	}{{"lost", "agent", lost}, {"set back", "agent", old}, {"lost and begun anew", "forgetful", lost}, {"set back and trusted", "trusting", old}} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			m := raise(t, x.role, 3, 3)
+			m := raise(t, x.role, 3, 0, 3)
 			r, err := m.Play(t.Context(), x.faults)
 			require.NoError(t, err)
 			breaches := chaos.Judge(r, bound)
@@ -199,6 +200,53 @@
 	}
 }
 
+// Three of five agents vote. A voter's machine is gone for good: another is promoted, the dead one forgotten, and the fleet
+// bears the loss of one more.
+func TestAVoterIsReplacedWhileTheOthersGoOn(t *testing.T) {
+	m := raise(t, "agent", 5, 2, 3)
+	for a := range 5 {
+		require.NoError(t, m.Start(a))
+	}
+	ask := func(a int, how func(context.Context, *agent.Client) error) func() bool {
+		return func() bool { return m.Ask(t.Context(), a, how) == nil }
+	}
+	say := func(a int, id string) func() bool {
+		return ask(a, func(ctx context.Context, c *agent.Client) error {
+			_, err := c.Say(ctx, wanted.Command{ID: id, Verb: wanted.Drain, Server: "s1"})
+			return err
+		})
+	}
+	change := func(a int, what, name string) func() bool {
+		return ask(a, func(ctx context.Context, c *agent.Client) error { return c.Voters(ctx, what, name) })
+	}
+	voters := func(a int, want ...string) func() bool {
+		return ask(a, func(ctx context.Context, c *agent.Client) error {
+			v, err := c.View(ctx)
+			if err == nil && !slices.Equal(v.Voters, want) {
+				err = fmt.Errorf("voters %v", v.Voters)
+			}
+			return err
+		})
+	}
+	soon, often := 40*time.Second, 20*time.Millisecond
+	require.Eventually(t, say(3, "one"), soon, often, "also said to one that only hears")
+	require.Eventually(t, voters(3, "a0", "a1", "a2"), soon, often)
+	m.Crash(0)
+	require.Eventually(t, change(4, "promote", "a3"), soon, often)
+	require.Eventually(t, change(4, "forget", "a0"), soon, often)
+	require.Eventually(t, voters(4, "a1", "a2", "a3"), soon, often)
+	m.Crash(1)
+	require.Eventually(t, say(4, "two"), soon, often, "a2 and a3 are most")
+	require.NoError(t, m.Start(1))
+	require.Eventually(t, change(2, "demote", "a3"), soon, often)
+	require.Eventually(t, voters(3, "a1", "a2"), soon, often)
+	require.Error(t, m.Ask(t.Context(), 2, func(ctx context.Context, c *agent.Client) error { return c.Voters(ctx, "promote", "a9") }))
+	require.Eventually(t, func() bool {
+		var v agent.View
+		return ask(3, func(ctx context.Context, c *agent.Client) (err error) { v, err = c.View(ctx); return err })() && len(v.Past) == 2
+	}, soon, often, "it hears what was agreed on")
+}
+
 func TestTheJudgeSaysWhenNothingSettles(t *testing.T) {
 	require.True(t, kinds(chaos.Judge(chaos.Record{}, bound))["not settled"])
 	require.True(t, kinds(chaos.Judge(chaos.Record{Settled: bound + 1}, bound))["not settled"])
--- a/lab/chaos/machines.go
+++ b/lab/chaos/machines.go
@@ -43,8 +43,8 @@
 	port         = 7400 // below those that the kernel draws for calls
 )
 
-// Raise writes the agents' files into a folder and makes the links; nothing runs yet.
-func Raise(command []string, folder string, agents, sites int, seed int64) (*Machines, error) {
+// Raise writes the agents' files into a folder and makes the links; nothing runs yet. The last ones have no vote.
+func Raise(command []string, folder string, agents, hear, sites int, seed int64) (*Machines, error) {
 	if agents > mostMachines {
 		return nil, fmt.Errorf("%d machines: %d are the most", agents, mostMachines)
 	}
@@ -74,10 +74,10 @@
 	}
 	for a := range agents {
 		var text strings.Builder
-		fmt.Fprintf(&text, "name = %q\nlisten = %q\nlog = %q\nreached = %q\nfrom = %q\ndata = %q\n", m.names[a], m.listen[a], logs[a], logsAt[a], address(calls, a), m.data(a))
+		fmt.Fprintf(&text, "name = %q\nlisten = %q\nlog = %q\nreached = %q\nfrom = %q\ndata = %q\nhears = %t\n", m.names[a], m.listen[a], logs[a], logsAt[a], address(calls, a), m.data(a), a >= agents-hear)
 		for b := range agents {
 			if b != a {
-				fmt.Fprintf(&text, "[[peer]]\nname = %q\nlisten = %q\nlog = %q\n", m.names[b], listenAt[b], logsAt[b])
+				fmt.Fprintf(&text, "[[peer]]\nname = %q\nlisten = %q\nlog = %q\nhears = %t\n", m.names[b], listenAt[b], logsAt[b], b >= agents-hear)
 			}
 		}
 		if err := os.WriteFile(m.plan(a), []byte(text.String()), 0o600); err != nil {
