--- a/agent/agent.go
+++ b/agent/agent.go
@@ -253,13 +253,13 @@
 
 // hear asks another agent whether it is there.
 func (a *Agent) hear(ctx context.Context, peer Peer) {
+	c := dialFrom(a.config.From, peer.Listen)
+	defer c.Close()
 	for {
-		call, cancel := context.WithTimeout(ctx, answering)
-		if h, err := a.askLog(call, peer, peer.Name); err == nil {
+		if h, err := c.log(ctx, ""); err == nil {
 			a.roll(func(r roll) { r.Heard(now(), peer.Name) })
 			a.hearLog(peer.Name, h)
 		}
-		cancel()
 		select {
 		case <-time.After(500 * time.Millisecond):
 		case <-ctx.Done():
--- a/agent/founding.go
+++ b/agent/founding.go
@@ -116,6 +116,10 @@
 func (a *Agent) askLog(ctx context.Context, p Peer, of string) (h holds, err error) {
 	c := dialFrom(a.config.From, p.Listen)
 	defer c.Close()
+	return c.log(ctx, of)
+}
+
+func (c *Client) log(ctx context.Context, of string) (h holds, err error) {
 	ctx, cancel := context.WithTimeout(ctx, answering)
 	defer cancel()
 	err = c.call(ctx, http.MethodGet, "log?of="+of, nil, &h)
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -260,6 +260,12 @@
 	return s.Number, c.call(ctx, http.MethodPost, "commands", command, &s)
 }
 
+// Holds is the number of the last entry that the agent's log holds.
+func (c *Client) Holds(ctx context.Context) (uint64, error) {
+	h, err := c.log(ctx, "")
+	return h.Last, err
+}
+
 // Voters changes who votes: what is promote, demote or forget.
 func (c *Client) Voters(ctx context.Context, what, name string) error {
 	return c.call(ctx, http.MethodPost, "voters", change{Name: name, What: what}, nil)
--- a/cmd/hatchlab/chaos.go
+++ b/cmd/hatchlab/chaos.go
@@ -44,6 +44,44 @@
 	return c
 }
 
+func spreadCommand() *cobra.Command {
+	var agents, voters, commands int
+	var binary string
+	c := &cobra.Command{
+		Use: "spread", Short: "Measure how commands reach many agents, and what passes between them at rest", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if voters < 1 || agents < voters || commands < 1 {
+				return fmt.Errorf("%d agents, %d of them voters, %d commands: too few", agents, voters, commands)
+			}
+			folder, err := os.MkdirTemp("", "hc")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(folder)
+			m, err := chaos.Raise([]string{binary, "serve", "--log-level", "warn"}, folder, agents, agents-voters, 1, 1)
+			if err != nil {
+				return err
+			}
+			defer m.Close()
+			s, err := m.Spread(c.Context(), commands, 10*time.Second)
+			if err != nil {
+				return err
+			}
+			at := func(all []time.Duration, part int) time.Duration {
+				return all[len(all)*part/100].Round(100 * time.Microsecond)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d agents, %d voters, %d commands: answered p50 %v, p99 %v; in all logs p50 %v, p99 %v; at rest %.0f bytes a second\n",
+				agents, voters, commands, at(s.First, 50), at(s.First, 99), at(s.All, 50), at(s.All, 99), s.Rest)
+			return nil
+		},
+	}
+	c.Flags().IntVar(&agents, "agents", 100, "how many, each a process")
+	c.Flags().IntVar(&voters, "voters", 5, "how many of them vote")
+	c.Flags().IntVar(&commands, "commands", 100, "how many, one after the other")
+	c.Flags().StringVar(&binary, "agent", "bin/hatchagent", "the program that is tried")
+	return c
+}
+
 func tryChaos(ctx context.Context, out io.Writer, f *chaos.File, binary, into string, seed int64, runs, beside int) error {
 	play := func(seed int64, faults []chaos.Fault) (chaos.Record, []chaos.Breach, error) {
 		folder, err := os.MkdirTemp("", "hc")
--- a/lab/chaos/machines.go
+++ b/lab/chaos/machines.go
@@ -39,7 +39,7 @@
 var raised atomic.Uint32
 
 const (
-	mostMachines = 60   // so many have four addresses each in one block of loopback
+	mostMachines = 250  // addresses in one block of loopback
 	port         = 7400 // below those that the kernel draws for calls
 )
 
@@ -49,9 +49,9 @@
 		return nil, fmt.Errorf("%d machines: %d are the most", agents, mostMachines)
 	}
 	m := &Machines{Net: links.New(seed), command: command, folder: folder, sites: sites, processes: make([]*exec.Cmd, agents)}
-	part := byte(20 + raised.Add(1)%200)
+	part := byte(20 + (uint32(os.Getpid())*7+raised.Add(1))%200)
 	address := func(kind, a int) netip.Addr {
-		return netip.AddrFrom4([4]byte{127, part, byte(os.Getpid() % 250), byte(kind*mostMachines + a + 1)})
+		return netip.AddrFrom4([4]byte{127, part, byte(kind*60 + os.Getpid()%60), byte(a + 1)})
 	}
 	const calls, listens, itsLog, advertised = 0, 1, 2, 3
 	var logs, listenAt, logsAt []string
--- a/lab/links/links.go
+++ b/lab/links/links.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,6 +40,7 @@
 	changed   chan struct{} // closed with the next change
 	calls     map[*call]bool
 	listeners []net.Listener
+	carried   atomic.Int64
 	running   sync.WaitGroup
 	over      chan struct{}
 }
@@ -103,6 +105,9 @@
 	n.Set(b, a, t)
 }
 
+// Carried is how many bytes have been passed on in all.
+func (n *Net) Carried() int64 { return n.carried.Load() }
+
 // Reset breaks off all connections between two machines.
 func (n *Net) Reset(a, b string) {
 	n.mu.Lock()
@@ -262,6 +267,7 @@
 			return
 		}
 		if len(p.bytes) > 0 {
+			n.carried.Add(int64(len(p.bytes)))
 			if _, err := out.Write(p.bytes); err != nil {
 				c.end(true)
 				return
