A voter started with a log votes only for who holds what the others told, until it does

Cause: the others remembered what they had heard of its log twice a second, so that what was written last was not told (agent/founding.go, proveLog). Changed: a log that is started asks what the others hold; until it holds as much it stands for nothing and votes only for who does (agent/voice.go, at the transport). The first remedy and its setting aside are out.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -122,7 +122,6 @@
 
 	rollMu sync.Mutex
 	there  *members.Roll
-	logs   map[string]holds // the newest that the other agents have told of theirs
 }
 
 type roll = *members.Roll
@@ -143,22 +142,11 @@
 // Run keeps the agent until ctx ends. Its instances go on without it.
 func Run(ctx context.Context, p *Plan, log *slog.Logger) error {
 	log = log.With("agent", p.Name)
-	err := run(ctx, p, log)
-	if errors.Is(err, errSetBack) {
-		if err := setAside(p.Data); err != nil {
-			return err
-		}
-		err = run(ctx, p, log)
-	}
-	return err
-}
-
-func run(ctx context.Context, p *Plan, log *slog.Logger) error {
 	journal, err := openJournal(p)
 	if err != nil {
 		return err
 	}
-	a := &Agent{config: p, log: log, journal: journal, there: members.New(suspect, lose, settle), logs: map[string]holds{}}
+	a := &Agent{config: p, log: log, journal: journal, there: members.New(suspect, lose, settle)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, c := range p.Instance {
@@ -256,10 +244,11 @@
 	c := dialFrom(a.config.From, peer.Listen)
 	defer c.Close()
 	for {
-		if h, err := c.log(ctx, ""); err == nil {
+		call, cancel := context.WithTimeout(ctx, answering)
+		if err := c.Ping(call); err == nil {
 			a.roll(func(r roll) { r.Heard(now(), peer.Name) })
-			a.hearLog(peer.Name, h)
 		}
+		cancel()
 		select {
 		case <-time.After(500 * time.Millisecond):
 		case <-ctx.Done():
--- a/agent/founding.go
+++ b/agent/founding.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -25,10 +23,9 @@
 //
 // One that only hears comes in by the second way, without a vote. Only those that vote at first are asked.
 //
-// A disk that was set back to what it was before has forgotten as much. Agents remember of each other the newest log that
-// they have heard of; one whose own is older sets it aside and comes back as if it were lost. It asks until most have
-// answered, without whom nothing could be agreed on anyway. It cannot be told where those that answer have been started anew
-// since, or have not heard of what was written last (they ask twice a second).
+// A disk that was set back to what it was before has forgotten as much, and looks like one that was merely away. So one that is
+// started with a log hears the leader at once, but asks what the others hold before it votes: until its own log is as new as the
+// newest of theirs it votes only for who holds that much, and stands for nothing (voice.go).
 
 // knock is how often the others are asked.
 const knock = 100 * time.Millisecond
@@ -71,58 +68,78 @@
 	Last  uint64 `json:"last"`
 }
 
-// older tells whether a log must have been set back, if the other was the same agent's before. Terms only rise. So do last
-// entries by term and number, but for the moments in which a leader replaces more than it sends at once; then the log
-// is fetched anew for nothing.
-func (h holds) older(other holds) bool {
-	return cmp.Or(cmp.Compare(h.Term, other.Term), cmp.Compare(h.Entry, other.Entry), cmp.Compare(h.Last, other.Last)) < 0
-}
-
 // begun says that there is no more than the beginning in which all voters are named: nobody has been voted for.
 func (h holds) begun() bool { return h.Last <= 1 && h.Term <= 1 }
 
-// errSetBack says that the log is an older one of this agent's.
-var errSetBack = errors.New("the log is older than what other agents have heard of it: its disk was set back")
+// older tells whether a log's end is an older one: by the term of its last entry, and its number.
+func (h holds) older(other holds) bool {
+	return cmp.Or(cmp.Compare(h.Entry, other.Entry), cmp.Compare(h.Last, other.Last)) < 0
+}
 
-// proveLog asks the other agents what they have heard of this one's log, and opens it if it is none that was set back.
-func (a *Agent) proveLog(ctx context.Context) error {
-	own := a.journal.holds()
-	for {
-		heard := 1
-		for _, p := range a.config.voters() {
-			h, err := a.askLog(ctx, p, a.config.Name)
-			if err != nil {
-				continue
-			}
-			heard++
-			if own.older(h) {
-				a.log.Warn("an older log", "heard by", p.Name, "term", h.Term, "last", h.Last, "term here", own.Term, "last here", own.Last)
-				return errSetBack
-			}
-		}
-		if 2*heard > len(a.config.voters())+1 {
-			a.journal.gate()
-			return nil
-		}
+const (
+	// enough is how long an agent waits for all that vote, once most have answered: what this one has forgotten may lie with
+	// any of them. Machines start and links flap within seconds.
+	enough = 5 * time.Second
+	// abstaining bounds how long it holds back after that: what the newest log held may never have been agreed on, and
+	// who held it may be gone for good.
+	abstaining = 30 * time.Second
+)
+
+// proveLog asks what the others hold, and has this agent vote as it should.
+func (a *Agent) proveLog(ctx context.Context) {
+	a.journal.gate()
+	rest := func() bool {
 		select {
 		case <-time.After(knock):
+			return true
 		case <-ctx.Done():
-			return nil
+			return false
 		}
 	}
+	others := a.config.voters()
+	var newest holds
+	began := time.Now()
+	for answered := map[string]bool{}; ; {
+		for _, p := range others {
+			if h, err := a.askLog(ctx, p); err == nil {
+				answered[p.Name] = true
+				newest.Term = max(newest.Term, h.Term)
+				if newest.older(h) {
+					newest.Entry, newest.Last = h.Entry, h.Last
+				}
+			}
+		}
+		most := 2*(len(answered)+1) > len(others)+1
+		if len(answered) == len(others) || most && time.Since(began) > enough {
+			break
+		}
+		if !rest() {
+			return
+		}
+	}
+	if a.journal.holds().older(newest) {
+		a.log.Warn("the others hold more; this agent votes only for who holds as much until it does", "last", newest.Last, "last here", a.journal.holds().Last)
+		a.journal.voice.hold(&newest)
+		for began = time.Now(); a.journal.holds().older(newest) && time.Since(began) < abstaining; {
+			if !rest() {
+				return
+			}
+		}
+	}
+	a.journal.voice.hold(nil)
 }
 
-// askLog asks an agent for its log's state, or for the newest that it has heard of another's.
-func (a *Agent) askLog(ctx context.Context, p Peer, of string) (h holds, err error) {
+// askLog asks an agent what its log holds.
+func (a *Agent) askLog(ctx context.Context, p Peer) (h holds, err error) {
 	c := dialFrom(a.config.From, p.Listen)
 	defer c.Close()
-	return c.log(ctx, of)
+	return c.log(ctx)
 }
 
-func (c *Client) log(ctx context.Context, of string) (h holds, err error) {
+func (c *Client) log(ctx context.Context) (h holds, err error) {
 	ctx, cancel := context.WithTimeout(ctx, answering)
 	defer cancel()
-	err = c.call(ctx, http.MethodGet, "log?of="+of, nil, &h)
+	err = c.call(ctx, http.MethodGet, "log", nil, &h)
 	return h, err
 }
 
@@ -137,42 +154,11 @@
 	return h
 }
 
-// hearLog remembers the newest log that another agent has told of.
-func (a *Agent) hearLog(name string, h holds) {
-	a.rollMu.Lock()
-	defer a.rollMu.Unlock()
-	if a.logs[name].older(h) {
-		a.logs[name] = h
-	}
-}
-
-// tellLog answers what is asked of a log.
-func (a *Agent) tellLog(of string) holds {
-	if of == "" || of == a.config.Name {
-		return a.journal.holds()
-	}
-	a.rollMu.Lock()
-	defer a.rollMu.Unlock()
-	return a.logs[of]
-}
-
-// setAside takes an older log out of the way; nothing of it is lost.
-func setAside(folder string) error {
-	old := filepath.Join(folder, fmt.Sprintf("set-back-%d", time.Now().UnixMicro()))
-	if err := os.Mkdir(old, 0o700); err != nil {
-		return err
-	}
-	err := os.Rename(filepath.Join(folder, "log.db"), filepath.Join(old, "log.db"))
-	if more := os.Rename(filepath.Join(folder, "snapshots"), filepath.Join(old, "snapshots")); !os.IsNotExist(more) {
-		err = errors.Join(err, more)
-	}
-	return err
-}
-
 // found brings an agent without a log to one, and has one that has a log prove it. It returns when it takes part.
 func (a *Agent) found(ctx context.Context) error {
 	if a.journal.had {
-		return a.proveLog(ctx)
+		a.proveLog(ctx)
+		return nil
 	}
 	for {
 		more, all := a.askAll(ctx)
@@ -199,7 +185,7 @@
 func (a *Agent) askAll(ctx context.Context) (more, all bool) {
 	all = !a.config.Hears // one that only hears begins nothing
 	for _, p := range a.config.voters() {
-		h, err := a.askLog(ctx, p, "")
+		h, err := a.askLog(ctx, p)
 		more, all = more || err == nil && !h.begun(), all && err == nil
 	}
 	return more, all
@@ -210,6 +196,7 @@
 	if err := a.ask(ctx, "forget"); err != nil {
 		return err
 	}
+	a.journal.voice.hold(nil) // whatever it had agreed to, most of the others hold by now
 	a.journal.gate()
 	if a.config.Hears {
 		return a.ask(ctx, "demote")
@@ -306,6 +293,7 @@
 		return 1
 	})
 	err := j.raft.BootstrapCluster(all).Error()
+	j.voice.hold(nil)
 	j.gate()
 	return err
 }
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -25,7 +25,7 @@
 type Journal struct {
 	raft    *raft.Raft
 	store   *boltdb.BoltStore
-	trans   *raft.NetworkTransport
+	voice   *voice
 	had     bool              // there was a log when it was opened
 	reached map[string]string // where the agents' logs reach each other, this one among them
 	hear    []string          // those that have no vote at first
@@ -118,12 +118,12 @@
 		}
 	}
 	g := &gate{Listener: l, open: make(chan struct{}), shut: make(chan struct{})}
-	trans := raft.NewNetworkTransport(layer{g, p.From, reached[name]}, 3, time.Second, io.Discard)
+	trans := newVoice(raft.NewNetworkTransport(layer{g, p.From, reached[name]}, 3, time.Second, io.Discard))
 	c := raft.DefaultConfig()
 	c.LocalID = raft.ServerID(name)
 	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = beat, beat, beat*2/3, 5*time.Millisecond
 	c.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})
-	j = &Journal{store: store, trans: trans, had: had, reached: reached, hear: hear, gate: sync.OnceFunc(func() { close(g.open) }),
+	j = &Journal{store: store, voice: trans, had: had, reached: reached, hear: hear, gate: sync.OnceFunc(func() { close(g.open) }),
 		machine: &machine{changed: make(chan struct{})}}
 	if j.raft, err = raft.NewRaft(c, j.machine, store, store, snapshots, trans); err != nil {
 		return shut(errors.Join(err, trans.Close()))
@@ -133,7 +133,7 @@
 
 // Close ends it.
 func (j *Journal) Close() error {
-	return errors.Join(j.raft.Shutdown().Error(), j.trans.Close(), j.store.Close())
+	return errors.Join(j.raft.Shutdown().Error(), j.voice.Close(), j.store.Close())
 }
 
 // errNotLeading is the answer of an agent that does not lead now.
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -45,9 +45,7 @@
 		}
 		answer(w, http.StatusOK, a.whole(r.Context()))
 	})
-	mux.HandleFunc("GET "+v+"/log", func(w http.ResponseWriter, r *http.Request) {
-		answer(w, http.StatusOK, a.tellLog(r.URL.Query().Get("of")))
-	})
+	mux.HandleFunc("GET "+v+"/log", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, a.journal.holds()) })
 	mux.HandleFunc("POST "+v+"/voters", func(w http.ResponseWriter, r *http.Request) {
 		var c change
 		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody)).Decode(&c)
@@ -262,7 +260,7 @@
 
 // Holds is the number of the last entry that the agent's log holds.
 func (c *Client) Holds(ctx context.Context) (uint64, error) {
-	h, err := c.log(ctx, "")
+	h, err := c.log(ctx)
 	return h.Last, err
 }
 
