--- a/cmd/hatchlab/chaos.go
+++ b/cmd/hatchlab/chaos.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -108,6 +109,9 @@
 			for s := range seeds {
 				drawn := f.Drawn(s)
 				r, breaches, err := play(s, drawn)
+				if ctx.Err() != nil {
+					continue // broken off: what was not seen any more proves nothing
+				}
 				mu.Lock()
 				for _, x := range drawn {
 					tried[x.Kind]++
@@ -154,8 +158,8 @@
 	}
 	close(seeds)
 	all.Wait()
-	if fault != nil {
-		return fault
+	if fault != nil || ctx.Err() != nil || len(settled) == 0 {
+		return errors.Join(fault, ctx.Err())
 	}
 	slices.Sort(settled)
 	fmt.Fprintf(out, "%d schedules, %d broken; %d commands answered; settled after the last fault p50 %v, p99 %v, worst %v\n", len(settled), broken, answered,
