--- a/agent/founding.go
+++ b/agent/founding.go
@@ -66,6 +66,8 @@
 	Term  uint64 `json:"term"`  // that it knows
 	Entry uint64 `json:"entry"` // the term of its last entry
 	Last  uint64 `json:"last"`
+
+	Applied uint64 `json:"applied"` // the last entry that was agreed on and acted on here
 }
 
 // begun says that there is no more than the beginning in which all voters are named: nobody has been voted for.
@@ -146,7 +148,7 @@
 // holds tells of this agent's log.
 func (j *Journal) holds() holds {
 	var h holds
-	h.Term, h.Last = j.raft.CurrentTerm(), j.raft.LastIndex()
+	h.Term, h.Last, h.Applied = j.raft.CurrentTerm(), j.raft.LastIndex(), j.raft.AppliedIndex()
 	var l raft.Log
 	if j.store.GetLog(h.Last, &l) == nil { // else it is in a snapshot: 0 is never newer
 		h.Entry = l.Term
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -44,6 +44,9 @@
 	// beat is how often a leader tells that it is there; without it for as long another is chosen. On one site's
 	// network, where a way takes milliseconds.
 	beat = 300 * time.Millisecond
+	// telling is how often a leader tells each other agent how far has been agreed on. With 5 ms a hundred agents at rest
+	// had 3.7 MB a second between them and heard commands later (p50 192 ms, with 25 ms 133 ms and 1.5 MB).
+	telling = 25 * time.Millisecond
 	// committing is how long a command may take until most agents have it.
 	committing = 5 * time.Second
 	// keptSnapshots are two: the one before serves if the last is torn.
@@ -121,7 +124,7 @@
 	trans := newVoice(raft.NewNetworkTransport(layer{g, p.From, reached[name]}, 3, time.Second, io.Discard))
 	c := raft.DefaultConfig()
 	c.LocalID = raft.ServerID(name)
-	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = beat, beat, beat*2/3, 5*time.Millisecond
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = beat, beat, beat*2/3, telling
 	c.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})
 	j = &Journal{store: store, voice: trans, had: had, reached: reached, hear: hear, gate: sync.OnceFunc(func() { close(g.open) }),
 		machine: &machine{changed: make(chan struct{})}}
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -258,10 +258,10 @@
 	return s.Number, c.call(ctx, http.MethodPost, "commands", command, &s)
 }
 
-// Holds is the number of the last entry that the agent's log holds.
-func (c *Client) Holds(ctx context.Context) (uint64, error) {
+// Applied is the number of the last entry that the agent has acted on.
+func (c *Client) Applied(ctx context.Context) (uint64, error) {
 	h, err := c.log(ctx)
-	return h.Last, err
+	return h.Applied, err
 }
 
 // Voters changes who votes: what is promote, demote or forget.
--- a/cmd/hatchlab/chaos.go
+++ b/cmd/hatchlab/chaos.go
@@ -71,7 +71,7 @@
 			at := func(all []time.Duration, part int) time.Duration {
 				return all[len(all)*part/100].Round(100 * time.Microsecond)
 			}
-			fmt.Fprintf(c.OutOrStdout(), "%d agents, %d voters, %d commands: answered p50 %v, p99 %v; in all logs p50 %v, p99 %v; at rest %.0f bytes a second\n",
+			fmt.Fprintf(c.OutOrStdout(), "%d agents, %d voters, %d commands: answered p50 %v, p99 %v; applied by all p50 %v, p99 %v; at rest %.0f bytes a second\n",
 				agents, voters, commands, at(s.First, 50), at(s.First, 99), at(s.All, 50), at(s.All, 99), s.Rest)
 			return nil
 		},
--- a/lab/chaos/spread.go
+++ b/lab/chaos/spread.go
@@ -39,8 +39,8 @@
 			for a := range m.names {
 				if !have[a] {
 					err := m.Ask(ctx, a, func(ctx context.Context, c *agent.Client) error {
-						h, err := c.Holds(ctx)
-						have[a] = err == nil && h >= number
+						applied, err := c.Applied(ctx)
+						have[a] = err == nil && applied >= number
 						return err
 					})
 					all = all && err == nil && have[a]
