--- a/logic/logic.go
+++ b/logic/logic.go
@@ -359,7 +359,7 @@
 		// Guards against as many homes of a group as there are proxies: all know the same order of servers.
 		share := float64(b.members[a.Group]+1) / float64(b.own+10)
 		step, most := homing, groupUnits
-		if b.own < b.ready {
+		if 10*b.own < b.ready {
 			step, most = step*4, most*4 // own counts tell next to nothing, and chance spread the groups
 		}
 		if a.Back {
