--- a/agent/journal.go
+++ b/agent/journal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -33,10 +34,13 @@
 	*machine
 }
 
-// machine applies the log to the state.
+// machine applies the log to the state. What it has applied is written down too: a log alone does not know how far it was agreed
+// on until a leader says so, and an agent that comes back alone would have its instances go by nothing.
 type machine struct {
 	mu      sync.Mutex
 	state   wanted.State
+	kept    wanted.State // what was applied before this start; it counts until the log has come that far again
+	path    string       // where it is written down
 	changed chan struct{}
 }
 
@@ -127,7 +131,7 @@
 	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = beat, beat, beat*2/3, telling
 	c.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})
 	j = &Journal{store: store, voice: trans, had: had, reached: reached, hear: hear, gate: sync.OnceFunc(func() { close(g.open) }),
-		machine: &machine{changed: make(chan struct{})}}
+		machine: remember(filepath.Join(folder, "applied.json"))}
 	if j.raft, err = raft.NewRaft(c, j.machine, store, store, snapshots, trans); err != nil {
 		return shut(errors.Join(err, trans.Close()))
 	}
@@ -183,7 +187,40 @@
 func (j *Journal) View(read func(*wanted.State)) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	read(&j.state)
+	read(j.newest())
+}
+
+// remember starts with what was written down. What cannot be read counts as nothing: the log has it all.
+func remember(path string) *machine {
+	m := &machine{path: path, changed: make(chan struct{})}
+	if text, err := os.ReadFile(path); err == nil {
+		_ = m.kept.Load(text)
+	}
+	return m
+}
+
+// newest is the state that counts. The lock is held.
+func (m *machine) newest() *wanted.State {
+	if m.kept.Applied > m.state.Applied {
+		return &m.kept
+	}
+	return &m.state
+}
+
+// keep writes the state down before anybody goes by it. The lock is held.
+func (m *machine) keep() {
+	if m.kept.Applied >= m.state.Applied {
+		return
+	}
+	text, err := m.state.Save()
+	if err == nil {
+		err = replace(m.path, text)
+	}
+	if err != nil {
+		// It goes on: a full disk is no reason to keep an order from instances. Until it has room, this agent comes back alone with what
+		// it wrote down last.
+		slog.Error("what was agreed on cannot be written down", "error", err)
+	}
 }
 
 // Changed is closed with the next change.
@@ -208,6 +245,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	number, err := m.state.Apply(l.Index, c)
+	m.keep()
 	m.wake()
 	return applied{number, err}
 }
@@ -236,6 +274,7 @@
 	if err := m.state.Load(text); err != nil {
 		return err
 	}
+	m.keep()
 	m.wake()
 	return nil
 }
--- a/cmd/hatchlab/chaos.go
+++ b/cmd/hatchlab/chaos.go
@@ -59,7 +59,7 @@
 				return err
 			}
 			defer os.RemoveAll(folder)
-			m, err := chaos.Raise([]string{binary, "serve", "--log-level", "warn"}, folder, agents, agents-voters, 1, 1)
+			m, err := chaos.Raise([]string{binary, "serve", "--log-level", "warn"}, folder, chaos.Layout{Agents: agents, Hear: agents - voters, Sites: 1, Seed: 1})
 			if err != nil {
 				return err
 			}
@@ -90,7 +90,7 @@
 			return chaos.Record{}, nil, err
 		}
 		defer os.RemoveAll(folder)
-		m, err := chaos.Raise([]string{binary, "serve", "--log-level", "warn"}, folder, f.Agents, 0, f.Sites, seed)
+		m, err := chaos.Raise([]string{binary, "serve", "--log-level", "warn"}, folder, chaos.Layout{Agents: f.Agents, Sites: f.Sites, Seed: seed})
 		if err != nil {
 			return chaos.Record{}, nil, err
 		}
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -7,9 +7,11 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,6 +30,7 @@
 	if role == "" {
 		os.Exit(m.Run())
 	}
+	signal.Ignore(syscall.SIGXFSZ) // as the program does
 	plan, err := agent.ReadPlan(os.Args[1])
 	switch {
 	case err != nil:
@@ -111,7 +114,7 @@
 	own, err := os.Executable()
 	require.NoError(t, err)
 	folder := t.TempDir()
-	m, err := chaos.Raise([]string{"/usr/bin/env", "HATCH_ROLE=" + role, own}, folder, agents, hear, sites, 1)
+	m, err := chaos.Raise([]string{"/usr/bin/env", "HATCH_ROLE=" + role, own}, folder, chaos.Layout{Agents: agents, Hear: hear, Sites: sites, Seed: 1})
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		m.Close()
@@ -269,3 +272,51 @@
 		require.ErrorContains(t, err, word)
 	}
 }
+
+func TestAnswersThatFitNoOneLogAreConvicted(t *testing.T) {
+	ms := time.Millisecond
+	said := func(id string, began, at time.Duration, number uint64) chaos.Said {
+		return chaos.Said{ID: id, Began: began, At: at, Number: number}
+	}
+	judge := func(said ...chaos.Said) bool {
+		past := map[uint64]string{}
+		for _, s := range said {
+			if s.Number > 0 {
+				past[s.Number] = s.ID
+			}
+		}
+		past[9] = "lost answer"
+		return kinds(chaos.Judge(chaos.Record{Settled: 1, Said: said, Seen: []chaos.Seen{{Applied: 9, Past: past}}}, bound))["out of order"]
+	}
+	require.False(t, judge(said("x", 0, 5*ms, 4), said("y", 1*ms, 2*ms, 3), said("x", 6*ms, 7*ms, 4)), "they were under way together, and one was said again")
+	require.True(t, judge(said("x", 0, 2*ms, 4), said("y", 3*ms, 4*ms, 3)), "y was said when x had been answered, and stands before it")
+	require.False(t, judge(said("lost answer", 0, 2*ms, 0), said("y", 3*ms, 4*ms, 3)), "it can have taken its place later")
+	require.True(t, judge(said("lost answer", 3*ms, 4*ms, 0), said("y", 0, 2*ms, 10)), "it was said when a later place had been answered")
+	require.True(t, judge(said("x", 0, 1*ms, 4), said("x", 2*ms, 3*ms, 5)), "one command, two places")
+}
+
+func TestAnInstanceThatGoesBackIsConvicted(t *testing.T) {
+	held := func(process int64, term, number uint64, id string) chaos.Held {
+		return chaos.Held{Instance: "n0", Process: process, Term: term, Orders: map[string]chaos.Told{"s": {Number: number, ID: id}}}
+	}
+	judge := func(faults []chaos.Fault, all ...chaos.Held) map[string]bool {
+		for i := range all {
+			all[i].At = time.Duration(i)
+		}
+		return kinds(chaos.Judge(chaos.Record{Settled: 1, Held: all, Faults: faults, Seen: []chaos.Seen{{Applied: 4, Past: map[uint64]string{3: "x", 4: "y"}}}}, bound))
+	}
+	require.Empty(t, judge(nil, held(1, 2, 3, "x"), held(1, 2, 4, "y"), held(2, 2, 4, "y")))
+	require.True(t, judge(nil, held(1, 2, 4, "y"), held(1, 2, 3, "x"))["stale"])
+	require.True(t, judge(nil, held(1, 3, 4, "y"), held(1, 2, 4, "y"))["stale"], "an author that was taken over from")
+	require.True(t, judge(nil, held(1, 2, 4, "z"))["stale"], "it was never agreed on")
+	require.True(t, judge(nil, held(1, 2, 4, "y"), held(2, 2, 3, "x"))["forgot"])
+	require.Empty(t, judge([]chaos.Fault{{Kind: chaos.DiskLost}}, held(1, 2, 4, "y"), held(2, 2, 3, "x")), "its machine's disk was lost")
+}
+
+func TestAnAgentThatEndsByItselfIsConvicted(t *testing.T) {
+	m := raise(t, "quitter", 3, 0, 1)
+	require.NoError(t, m.Start(0))
+	rec := m.Record(t.Context())
+	require.Eventually(t, func() bool { return m.Start(0) == nil && m.Fallen() > 1 }, 10*time.Second, time.Millisecond)
+	require.True(t, kinds(chaos.Judge(rec.End(t.Context()), bound))["fell"])
+}
--- a/lab/chaos/file.go
+++ b/lab/chaos/file.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -81,7 +82,7 @@
 	}
 	for _, s := range r.Said {
 		if s.Number > 0 {
-			add(s.At, "answer  a%d: %s is number %d", s.Agent, s.ID, s.Number)
+			add(s.At, "answer  a%d: %s, said at %.3f, is number %d", s.Agent, s.ID, s.Began.Seconds(), s.Number)
 		} else {
 			add(s.At, "unknown a%d: %s", s.Agent, s.ID)
 		}
@@ -93,6 +94,16 @@
 		}
 		before[s.Agent] = s
 	}
+	for _, f := range r.Fell {
+		add(f.At, "fell    a%d", f.Agent)
+	}
+	went := map[string]Held{}
+	for _, h := range r.Held {
+		if b, known := went[h.Instance]; !known || b.Process != h.Process || b.Term != h.Term || !maps.Equal(b.Orders, h.Orders) {
+			add(h.At, "goes by %s: process %d, term %d, %v", h.Instance, h.Process, h.Term, h.Orders)
+		}
+		went[h.Instance] = h
+	}
 	slices.SortStableFunc(lines, func(a, b line) int { return int(a.at - b.at) })
 	var out strings.Builder
 	for _, l := range lines {
--- a/lab/chaos/judge.go
+++ b/lab/chaos/judge.go
@@ -13,10 +13,33 @@
 type Said struct {
 	ID     string
 	Agent  int
-	At     time.Duration // since the begin of the run, on the clock that all processes share
+	Began  time.Duration // since the begin of the run, on the clock that all processes share
+	At     time.Duration // when an answer came, or was waited for no longer
 	Number uint64        // 0: the outcome is not known
 }
 
+// Told is an order as an instance goes by it.
+type Told struct {
+	Number uint64
+	ID     string
+}
+
+// Held is what an instance told of itself.
+type Held struct {
+	Instance string
+	Machine  int
+	At       time.Duration
+	Process  int64 // when its process started
+	Term     uint64
+	Orders   map[string]Told // by server
+}
+
+// Fell is an agent that ended by itself.
+type Fell struct {
+	Agent int
+	At    time.Duration
+}
+
 // Seen is what an agent told of itself.
 type Seen struct {
 	Agent   int
@@ -34,14 +57,19 @@
 	Agents  int
 	Said    []Said
 	Seen    []Seen
+	Held    []Held
+	Fell    []Fell
 	Faults  []Fault
 	Ended   time.Duration // when the last fault ended
-	Settled time.Duration // how long after that all agreed on a new command; 0 if they did not
+	Settled time.Duration // how long after that all agents had agreed on a new command; 0 if they did not
+	Told    time.Duration // how long after that all instances went by it; 0 if they did not
+
+	Instances bool // there were some
 }
 
 // Breach is what must not be.
 type Breach struct {
-	Kind string // lost, changed, two leaders, not settled
+	Kind string // lost, changed, two leaders, not settled, out of order, stale, forgot, fell
 	At   time.Duration
 	What string
 }
@@ -51,7 +79,12 @@
 //   - lost: a command was answered with a number, and an agent that has applied that far does not know it there, or none
 //     knows it at the end;
 //   - two leaders: two agents led in one term;
-//   - not settled: after the last fault ended they did not agree on a new command within the bound.
+//   - not settled: after the last fault ended they did not agree on a new command within the bound, or instances did not go by it
+//     within telling more;
+//   - out of order: the answers fit no order of the commands that keeps to when each was said and answered;
+//   - stale: an instance went back to an older order, or an older author, or goes by an order that was never agreed on;
+//   - forgot: an instance that was started anew on a machine that kept its disk went back to an older order;
+//   - fell: an agent ended by itself while its disk had room.
 func Judge(r Record, bound time.Duration) []Breach {
 	var found []Breach
 	add := func(kind string, at time.Duration, what string, about ...any) {
@@ -96,14 +129,106 @@
 			add("lost", c.At, "%s was answered with number %d by a%d and never seen there: it was seen at %d, and there %q", c.ID, c.Number, c.Agent, numbers[c.ID], ids[c.Number])
 		}
 	}
+	for _, f := range r.Fell {
+		add("fell", f.At, "a%d ended by itself", f.Agent)
+	}
+	found = append(found, outOfOrder(r.Said, numbers)...)
+	found = append(found, judgeHeld(r, ids)...)
+	if r.Instances && r.Settled > 0 && (r.Told == 0 || r.Told > bound+TellingBound) {
+		add("not settled", r.Ended, "instances went by the last order %v after the last fault (0: never); the bound is %v", r.Told.Round(time.Millisecond), bound+TellingBound)
+	}
 	if r.Settled == 0 || r.Settled > bound {
 		add("not settled", r.Ended, "%v after the last fault (0: never); the bound is %v", r.Settled.Round(time.Millisecond), bound)
 	}
 	return found
 }
 
+// judgeHeld judges what instances went by; ids are the commands that were agreed on, by number.
+func judgeHeld(r Record, ids map[uint64]string) (found []Breach) {
+	held := slices.Clone(r.Held)
+	slices.SortStableFunc(held, func(a, b Held) int { return cmp.Compare(a.At, b.At) })
+	before := map[string]Held{}
+	told := map[string]bool{}
+	for _, h := range held {
+		b, known := before[h.Instance]
+		before[h.Instance] = h
+		add := func(kind, what string, about ...any) {
+			if key := kind + h.Instance; !told[key] {
+				told[key] = true
+				found = append(found, Breach{kind, h.At, h.Instance + ": " + fmt.Sprintf(what, about...)})
+			}
+		}
+		kind := "stale"
+		if known && b.Process != h.Process {
+			kind = "forgot"
+		}
+		if known && kind == "stale" && h.Term < b.Term {
+			add(kind, "heard an author of term %d, and now goes by one of term %d", b.Term, h.Term)
+		}
+		disk := slices.ContainsFunc(r.Faults, func(f Fault) bool {
+			return (f.Kind == DiskLost || f.Kind == DiskOld) && f.On == h.Machine
+		})
+		for _, server := range slices.Sorted(maps.Keys(b.Orders)) {
+			if was, is := b.Orders[server], h.Orders[server]; is.Number < was.Number && !(kind == "forgot" && disk) {
+				add(kind, "went by number %d on %s, and now by %d", was.Number, server, is.Number)
+			}
+		}
+		for server, o := range h.Orders {
+			if id, known := ids[o.Number]; known && id != o.ID {
+				add("stale", "goes by %q as number %d on %s, and %q was agreed on there", o.ID, o.Number, server, id)
+			}
+		}
+	}
+	return found
+}
+
+// outOfOrder tells what answers fit no log that is one: each command takes a place after all that were answered before it was
+// said, and is answered with that place however often it is said. As the places are told, one pass in their order decides it:
+// the earliest moment at which a command can have taken its place is when it was said first, or the moment of the one before it
+// if that is later, and must not come after its first answer. places are those that were seen.
+func outOfOrder(said []Said, places map[string]uint64) (breaches []Breach) {
+	type turn struct {
+		id          string
+		place       uint64
+		first, last time.Duration // when it can have taken it at the earliest, and at the latest
+	}
+	turns := map[string]*turn{}
+	for _, s := range said {
+		t := turns[s.ID]
+		if t == nil {
+			t = &turn{s.ID, places[s.ID], s.Began, math.MaxInt64}
+			turns[s.ID] = t
+		}
+		t.first = min(t.first, s.Began)
+		if s.Number == 0 {
+			continue
+		}
+		if t.place != 0 && t.place != s.Number {
+			breaches = append(breaches, Breach{"out of order", s.At, fmt.Sprintf("%s is number %d, and was answered with %d", s.ID, t.place, s.Number)})
+		}
+		t.place, t.last = s.Number, min(t.last, s.At)
+	}
+	inTurn := slices.SortedFunc(maps.Values(turns), func(a, b *turn) int { return cmp.Compare(a.place, b.place) })
+	var before turn
+	for _, t := range inTurn {
+		if t.place == 0 {
+			continue // it never was, or nobody can tell
+		}
+		if t.first > before.first {
+			before = *t
+		}
+		if before.first > t.last {
+			breaches = append(breaches, Breach{"out of order", t.last, fmt.Sprintf("%s was answered with %d before %s was said, which is number %d", t.id, t.place, before.id, before.place)})
+		}
+	}
+	return breaches
+}
+
 func sorted(m map[uint64]string) []uint64 { return slices.Sorted(maps.Keys(m)) }
 
 // Bound is how long after the last fault agents may take to agree on a new command and all have it; docs/faults.md
-// derives it.
-const Bound = 17 * time.Second
+// derives it, and that instances go by it TellingBound later.
+const (
+	Bound        = 17 * time.Second
+	TellingBound = 3 * time.Second
+)
--- a/lab/chaos/machines.go
+++ b/lab/chaos/machines.go
@@ -4,34 +4,79 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
+	"math"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hatchproxy/agent"
 	"hatchproxy/lab/links"
 )
 
-// Machines are some, each with an agent that reaches the others only through links. Machine m stands in site m%sites.
+// Layout is what stands where. Machine m stands in site m%Sites, and so do the servers of zone z: z is less than Sites.
+type Layout struct {
+	Agents    int                          // one a machine
+	Hear      int                          // so many of them, the last ones, have no vote
+	Sites     int                          //
+	Seed      int64                        // of what the links draw
+	Instances func(a int) []agent.Instance // those that a machine's agent keeps; nil for none
+	// Struck hears what is done to the instances of a machine: before they are killed or stopped, and after they went on.
+	Struck func(a int, what Strike)
+	// Severed hears that a machine's ways to the servers of a zone are cut, and that they are back.
+	Severed func(a, zone int, cut bool)
+}
+
+// Strike is what is done to the instances of a machine.
+type Strike int
+
+const (
+	Killed Strike = iota
+	Stopped
+	Woken
+)
+
+// Machines are some, each with an agent that reaches the others only through links.
 type Machines struct {
+	Layout
 	Net     *links.Net
 	command []string // what starts an agent; its file is added
 	folder  string
 	names   []string
 	listen  []string // where each agent listens: the judge asks there, past the links
-	sites   int
+
+	ways *ways
 
 	mu        sync.Mutex
-	processes []*exec.Cmd // nil for one that does not run
+	processes []*process // nil for one that does not run
+	stopped   []bool     // its instances
+	fell      []Fall
+}
+
+// process is an agent's.
+type process struct {
+	*exec.Cmd
+	ended chan struct{} // closed when it has
+	meant bool          // it is to end, or may
+}
+
+// Fall is an agent that ended by itself.
+type Fall struct {
+	Agent int
+	At    time.Time
 }
 
 // raised counts the sets of machines in this process: each has a part of loopback of its own, so that several may run
@@ -43,12 +88,13 @@
 	port         = 7400 // below those that the kernel draws for calls
 )
 
-// Raise writes the agents' files into a folder and makes the links; nothing runs yet. The last ones have no vote.
-func Raise(command []string, folder string, agents, hear, sites int, seed int64) (*Machines, error) {
+// Raise writes the agents' files into a folder and makes the links; nothing runs yet.
+func Raise(command []string, folder string, l Layout) (*Machines, error) {
+	agents, hear := l.Agents, l.Hear
 	if agents > mostMachines {
 		return nil, fmt.Errorf("%d machines: %d are the most", agents, mostMachines)
 	}
-	m := &Machines{Net: links.New(seed), command: command, folder: folder, sites: sites, processes: make([]*exec.Cmd, agents)}
+	m := &Machines{Layout: l, Net: links.New(l.Seed), command: command, folder: folder, processes: make([]*process, agents), stopped: make([]bool, agents)}
 	part := byte(20 + (uint32(os.Getpid())*7+raised.Add(1))%200)
 	address := func(kind, a int) netip.Addr {
 		return netip.AddrFrom4([4]byte{127, part, byte(kind*60 + os.Getpid()%60), byte(a + 1)})
@@ -72,6 +118,12 @@
 			}
 		}
 	}
+	m.ways = &ways{net: m.Net, cuts: map[[2]string]int{}, all: m.names, told: l.Severed}
+	if l.Instances != nil {
+		for z := range l.Sites {
+			m.ways.far = append(m.ways.far, zone(z))
+		}
+	}
 	for a := range agents {
 		var text strings.Builder
 		fmt.Fprintf(&text, "name = %q\nlisten = %q\nlog = %q\nreached = %q\nfrom = %q\ndata = %q\nhears = %t\n", m.names[a], m.listen[a], logs[a], logsAt[a], address(calls, a), m.data(a), a >= agents-hear)
@@ -80,6 +132,13 @@
 				fmt.Fprintf(&text, "[[peer]]\nname = %q\nlisten = %q\nlog = %q\nhears = %t\n", m.names[b], listenAt[b], logsAt[b], b >= agents-hear)
 			}
 		}
+		for _, i := range m.keeps(a) {
+			quoted, err := json.Marshal(i.Command)
+			if err != nil {
+				return nil, err
+			}
+			fmt.Fprintf(&text, "[[instance]]\nname = %q\ncommand = %s\ncontrol = %q\n", i.Name, quoted, i.Control)
+		}
 		if err := os.WriteFile(m.plan(a), []byte(text.String()), 0o600); err != nil {
 			return nil, err
 		}
@@ -94,10 +153,14 @@
 func (m *Machines) Start(a int) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.processes[a] != nil {
-		return nil
+	if p := m.processes[a]; p != nil {
+		select {
+		case <-p.ended:
+		default:
+			return nil
+		}
 	}
-	log, err := os.OpenFile(filepath.Join(m.folder, fmt.Sprintf("a%d.log", a)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(m.Log(a), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -108,28 +171,174 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	m.processes[a] = cmd
+	p := &process{Cmd: cmd, ended: make(chan struct{})}
+	m.processes[a] = p
+	go func() {
+		_ = cmd.Wait()
+		close(p.ended)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if !p.meant {
+			m.fell = append(m.fell, Fall{a, time.Now()})
+		}
+	}()
 	return nil
 }
 
+// Fallen is how many times an agent has ended by itself.
+func (m *Machines) Fallen() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.fell)
+}
+
+// Log is the file with what a machine's agent says.
+func (m *Machines) Log(a int) string { return filepath.Join(m.folder, fmt.Sprintf("a%d.log", a)) }
+
+// Kill ends a machine's agent alone; its instances go on.
+func (m *Machines) Kill(a int) {
+	m.mu.Lock()
+	p := m.processes[a]
+	m.processes[a] = nil
+	if p != nil {
+		p.meant = true
+	}
+	m.mu.Unlock()
+	if p != nil {
+		_ = p.Process.Kill()
+		<-p.ended
+	}
+}
+
 // Crash ends all that runs on a machine in one instant.
 func (m *Machines) Crash(a int) {
+	instances := m.stop(a)
+	m.struck(a, Killed)
+	for _, pid := range instances {
+		_ = syscall.Kill(pid, syscall.SIGKILL)
+	}
+	m.Kill(a)
+}
+
+// Stall stops all that runs on a machine; Wake has it go on.
+func (m *Machines) Stall(a int) {
+	m.struck(a, Stopped)
+	for _, pid := range m.stop(a) {
+		_ = syscall.Kill(pid, syscall.SIGSTOP)
+	}
+}
+
+func (m *Machines) Wake(a int) {
+	for _, pid := range m.instances(a) {
+		_ = syscall.Kill(pid, syscall.SIGCONT)
+	}
+	m.signal(a, syscall.SIGCONT)
+	m.struck(a, Woken)
+}
+
+// StallInstances stops a machine's instances and not its agent; Wake has them go on.
+func (m *Machines) StallInstances(a int) {
+	m.struck(a, Stopped)
+	for _, pid := range m.instances(a) {
+		_ = syscall.Kill(pid, syscall.SIGSTOP)
+	}
+}
+
+// struck tells of it; of a machine that was not stopped nothing is told when it is woken.
+func (m *Machines) struck(a int, what Strike) {
+	m.mu.Lock()
+	was := m.stopped[a]
+	m.stopped[a] = what == Stopped
+	m.mu.Unlock()
+	if m.Struck != nil && (was || what != Woken) {
+		m.Struck(a, what)
+	}
+}
+
+// stop stops the agent first, so that it starts nothing while its instances are looked for, and tells their processes.
+func (m *Machines) stop(a int) []int {
+	m.signal(a, syscall.SIGSTOP)
+	return m.instances(a)
+}
+
+// instances are the processes of a machine's instances: what its agent has started, or has written down.
+func (m *Machines) instances(a int) (pids []int) {
+	if m.Instances == nil {
+		return nil
+	}
+	for _, i := range m.keeps(a) {
+		var p struct {
+			PID   int
+			Start string
+		}
+		text, err := os.ReadFile(filepath.Join(m.data(a), i.Name+".process"))
+		if err == nil && json.Unmarshal(text, &p) == nil && p.PID > 1 && stat(p.PID, 19) == p.Start {
+			pids = append(pids, p.PID)
+		}
+	}
+	m.mu.Lock()
+	agent := m.processes[a]
+	m.mu.Unlock()
+	if agent == nil {
+		return pids
+	}
+	all, _ := filepath.Glob("/proc/[0-9]*") // the one fault is a bad pattern
+	for _, path := range all {
+		// Guards against one that was started and not written down yet.
+		if pid, err := strconv.Atoi(filepath.Base(path)); err == nil && stat(pid, 1) == strconv.Itoa(agent.Process.Pid) && !slices.Contains(pids, pid) {
+			pids = append(pids, pid)
+		}
+	}
+	return pids
+}
+
+// stat is a field of what the kernel tells of a process, counted from its state; "" if there is none.
+func stat(pid, field int) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return ""
+	}
+	words := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(words) <= field {
+		return ""
+	}
+	return words[field]
+}
+
+// signal is for a machine's agent.
+func (m *Machines) signal(a int, s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if cmd := m.processes[a]; cmd != nil {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+	if p := m.processes[a]; p != nil {
+		_ = p.Process.Signal(s)
 	}
-	m.processes[a] = nil
 }
 
-// Signal stops a machine, or has it go on.
-func (m *Machines) Signal(a int, s syscall.Signal) {
+// FillDisk has every file of a machine's agent at its largest: nothing on its disk grows any more. That is a limit on the process
+// (setrlimit's RLIMIT_FSIZE), and fails writes as a full disk does. Room ends it.
+func (m *Machines) FillDisk(a int) error {
+	largest := uint64(0)
+	if info, err := os.Stat(filepath.Join(m.data(a), "log.db")); err == nil {
+		largest = uint64(info.Size())
+	}
+	return m.limit(a, largest)
+}
+
+func (m *Machines) Room(a int) error { return m.limit(a, math.MaxUint64) }
+
+func (m *Machines) limit(a int, largest uint64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if cmd := m.processes[a]; cmd != nil {
-		_ = cmd.Process.Signal(s)
+	p := m.processes[a]
+	if p == nil {
+		return nil
+	}
+	p.meant = true // one that can write down nothing may end
+	err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: largest, Max: math.MaxUint64}, nil)
+	if errors.Is(err, unix.ESRCH) {
+		return nil
 	}
+	return err
 }
 
 // LoseDisk takes what a crashed machine had on its disk.
@@ -138,8 +347,8 @@
 // KeepDisk copies a machine's disk in one instant, as a backup does; SetBackDisk lays the copy in the place of what a
 // crashed machine has.
 func (m *Machines) KeepDisk(a int) error {
-	m.Signal(a, syscall.SIGSTOP)
-	defer m.Signal(a, syscall.SIGCONT)
+	m.signal(a, syscall.SIGSTOP)
+	defer m.signal(a, syscall.SIGCONT)
 	if err := os.RemoveAll(m.data(a) + ".kept"); err != nil {
 		return err
 	}
@@ -176,13 +385,34 @@
 
 // Ask asks a machine's agent, past the links.
 func (m *Machines) Ask(ctx context.Context, a int, how func(context.Context, *agent.Client) error) error {
+	return m.ask(ctx, a, asking, how)
+}
+
+func (m *Machines) ask(ctx context.Context, a int, within time.Duration, how func(context.Context, *agent.Client) error) error {
 	c := agent.Dial(m.listen[a])
 	defer c.Close()
-	ctx, cancel := context.WithTimeout(ctx, asking)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	return how(ctx, c)
 }
 
+// site is a machine's; zone names the servers that stand in one.
+func (m *Machines) site(a int) int { return a % m.Sites }
+func zone(site int) string         { return fmt.Sprint("zone", site) }
+
+// keeps are the instances that a machine's agent keeps.
+func (m *Machines) keeps(a int) []agent.Instance {
+	if m.Instances == nil {
+		return nil
+	}
+	return m.Instances(a)
+}
+
+// Way is where a machine's instances reach a server of a zone that listens at an address.
+func (m *Machines) Way(a, z int, listens string) (string, error) {
+	return m.Net.Way(m.names[a], zone(z), listens)
+}
+
 // errOver is the end of a wait that has come to nothing.
 var errOver = errors.New("not in time")
 
--- a/lab/chaos/schedule.go
+++ b/lab/chaos/schedule.go
@@ -7,11 +7,8 @@
 	"math/rand"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"hatchproxy/agent"
-	"hatchproxy/agent/wanted"
 	"hatchproxy/lab/links"
 )
 
@@ -32,10 +29,23 @@
 	Stall    Kind = "stall"     // a machine stops and goes on
 	DiskLost Kind = "disk-lost" // a machine, and back with its disk empty
 	DiskOld  Kind = "disk-old"  // a machine, and back with its disk as it was at the fault's begin
+	DiskFull Kind = "disk-full" // nothing grows any more on the disk of a machine's agent; one that ends by that is started again after
+	SiteDark Kind = "site-dark" // all machines of a site crash in one instant, and are back with their disks
+
+	// These need instances.
+	KillAgent Kind = "agent-dead" // a machine's agent, and not its instances
+	Sleep     Kind = "sleep"      // a machine's instances stop and go on, and not its agent
+	NoServers Kind = "no-servers" // a machine from all servers; its agent sees the others
+)
+
+// Kinds are those that agents without instances can suffer, in the order of their drawing; WithInstances are the others.
+var (
+	Kinds         = []Kind{Cut, OneWay, Deaf, Reset, Slow, Flap, Ring, SiteCut, Crash, CrashAll, Stall, DiskLost, DiskOld, DiskFull, SiteDark}
+	WithInstances = []Kind{KillAgent, Sleep, NoServers}
 )
 
-// Kinds are all, in the order of their drawing.
-var Kinds = []Kind{Cut, OneWay, Deaf, Reset, Slow, Flap, Ring, SiteCut, Crash, CrashAll, Stall, DiskLost, DiskOld}
+// OfSite tells whether a kind's number is a site's.
+func (k Kind) OfSite() bool { return k == SiteCut || k == SiteDark }
 
 // Fault is one with its time.
 type Fault struct {
@@ -67,7 +77,7 @@
 		}
 		lost = lost || k == DiskLost || k == DiskOld
 		on := rng.Intn(agents)
-		if k == SiteCut {
+		if k.OfSite() {
 			on = rng.Intn(sites)
 		}
 		at += time.Duration(rng.Int63n(int64(apart)))
@@ -82,7 +92,9 @@
 	net  *links.Net
 	cuts map[[2]string]int
 	slow int
-	all  []string
+	all  []string // machines
+	far  []string // the servers of the zones
+	told func(a, zone int, cut bool)
 }
 
 func (w *ways) change(cut [][2]string, by, slow int) {
@@ -90,7 +102,11 @@
 	defer w.mu.Unlock()
 	w.slow += slow
 	for _, way := range cut {
+		was := w.cuts[way] > 0
 		w.cuts[way] += by
+		if z := slices.Index(w.far, way[1]); z >= 0 && w.told != nil && was != (w.cuts[way] > 0) {
+			w.told(slices.Index(w.all, way[0]), z, !was)
+		}
 	}
 	for _, a := range w.all {
 		for _, b := range w.all {
@@ -103,6 +119,10 @@
 			}
 			w.net.Set(a, b, t)
 		}
+		for _, z := range w.far {
+			w.net.Set(a, z, links.Trouble{Cut: w.cuts[[2]string{a, z}] > 0})
+			w.net.Set(z, a, links.Trouble{Cut: w.cuts[[2]string{z, a}] > 0})
+		}
 	}
 }
 
@@ -120,7 +140,7 @@
 			case Deaf:
 				hit = b == f.On
 			case SiteCut:
-				hit = (a%m.sites == f.On) != (b%m.sites == f.On)
+				hit = m.site(a) == f.On != (m.site(b) == f.On)
 			case Ring:
 				hit = n > 3 && (a-b+n)%n != 1 && (b-a+n)%n != 1
 			}
@@ -128,12 +148,18 @@
 				cut = append(cut, [2]string{m.names[a], m.names[b]})
 			}
 		}
+		for z := range m.Sites {
+			if f.Kind == SiteCut && m.site(a) == f.On != (z == f.On) || f.Kind == NoServers && a == f.On {
+				cut = append(cut, [2]string{m.names[a], zone(z)}, [2]string{zone(z), m.names[a]})
+			}
+		}
 	}
 	return cut
 }
 
 // suffer plays one fault from its begin to its end.
-func (m *Machines) suffer(ctx context.Context, w *ways, f Fault) error {
+func (m *Machines) suffer(ctx context.Context, f Fault) error {
+	w := m.ways
 	rest := func(d time.Duration) {
 		select {
 		case <-time.After(d):
@@ -170,20 +196,42 @@
 			return err
 		}
 		return m.Start(f.On)
-	case CrashAll:
+	case CrashAll, SiteDark:
+		var all []int
 		for a := range m.names {
-			m.Crash(a)
+			if f.Kind == CrashAll || m.site(a) == f.On {
+				all = append(all, a)
+				m.Crash(a)
+			}
 		}
-		for a := range m.names {
-			rest(f.For / time.Duration(len(m.names)))
+		for _, a := range all {
+			if f.Kind == CrashAll {
+				rest(f.For / time.Duration(len(all)))
+			} else if a == all[0] {
+				rest(f.For)
+			}
 			if err := m.Start(a); err != nil {
 				return err
 			}
 		}
 	case Stall:
-		m.Signal(f.On, syscall.SIGSTOP)
+		m.Stall(f.On)
+		rest(f.For)
+		m.Wake(f.On)
+	case Sleep:
+		m.StallInstances(f.On)
+		rest(f.For)
+		m.Wake(f.On)
+	case KillAgent:
+		m.Kill(f.On)
 		rest(f.For)
-		m.Signal(f.On, syscall.SIGCONT)
+		return m.Start(f.On)
+	case DiskFull:
+		if err := m.FillDisk(f.On); err != nil {
+			return err
+		}
+		rest(f.For)
+		return errors.Join(m.Room(f.On), m.Start(f.On))
 	default:
 		w.change(m.cut(f), 1, 0)
 		if f.Kind == Reset {
@@ -196,178 +244,3 @@
 	}
 	return nil
 }
-
-const (
-	// rising is how long the agents may take to agree for the first time, on a busy machine.
-	rising = 30 * time.Second
-	// waiting is how long a run waits for them to settle: longer than any bound that is judged by.
-	waiting = 40 * time.Second
-	seeing  = 40 * time.Millisecond
-	saying  = 40 * time.Millisecond
-	// impatient is how long a client waits: a command that was passed on to a leader that is cut off says nothing for long.
-	impatient = time.Second
-)
-
-// Play has the agents run under the faults while clients have them say commands, and returns what was seen.
-func (m *Machines) Play(ctx context.Context, faults []Fault) (Record, error) {
-	r := Record{Agents: len(m.names), Faults: faults}
-	for a := range m.names {
-		if err := m.Start(a); err != nil {
-			return r, err
-		}
-	}
-	say := func(a int, id string, within time.Duration) (number uint64, err error) {
-		ctx, cancel := context.WithTimeout(ctx, within)
-		defer cancel()
-		err = m.Ask(ctx, a, func(ctx context.Context, c *agent.Client) error {
-			number, err = c.Say(ctx, wanted.Command{ID: id, Verb: wanted.Drain, Server: "s" + id[len(id)-1:]})
-			return err
-		})
-		return number, err
-	}
-	first := 0
-	if err := until(ctx, rising, func() bool { first++; _, err := say(first%len(m.names), "first", asking); return err == nil }); err != nil {
-		return r, fmt.Errorf("the agents never agreed on a first command: %w", err)
-	}
-	begin := time.Now()
-	var mu sync.Mutex
-	var watching, playing sync.WaitGroup
-	var clients sync.WaitGroup
-	over, done := make(chan struct{}), make(chan struct{})
-	for a := range m.names {
-		watching.Go(func() {
-			m.watch(ctx, a, begin, done, func(s Seen) { mu.Lock(); r.Seen = append(r.Seen, s); mu.Unlock() })
-		})
-	}
-	for a := range m.names { // a client each: one that is held up holds up nobody else
-		clients.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-over:
-					return
-				case <-time.After(saying):
-				}
-				id := fmt.Sprintf("c%d-%d", a, n)
-				number, err := say(a, id, impatient)
-				if err != nil {
-					number = 0
-				}
-				mu.Lock()
-				r.Said = append(r.Said, Said{id, a, time.Since(begin), number})
-				mu.Unlock()
-			}
-		})
-	}
-	w := &ways{net: m.Net, cuts: map[[2]string]int{}, all: m.names}
-	wrong := make([]error, len(faults))
-	for i, f := range faults {
-		playing.Go(func() {
-			select {
-			case <-time.After(f.At):
-				wrong[i] = m.suffer(ctx, w, f)
-			case <-ctx.Done():
-			}
-		})
-	}
-	playing.Wait()
-	for a := range m.names {
-		m.Signal(a, syscall.SIGCONT) // one fault may have stopped what another started anew
-	}
-	r.Ended = time.Since(begin)
-	if m.settles(ctx, say) == nil {
-		r.Settled = time.Since(begin) - r.Ended
-	}
-	close(over)
-	clients.Wait()
-	close(done)
-	watching.Wait()
-	// What was said last is looked for once more: a record that ends before it would accuse the agents.
-	_ = until(ctx, 2*time.Second, func() bool { return r.Settled == 0 || m.lastLook(ctx, begin, &r) })
-	return r, errors.Join(wrong...)
-}
-
-// settles waits until a new command is agreed on and all agents have it.
-func (m *Machines) settles(ctx context.Context, say func(int, string, time.Duration) (uint64, error)) error {
-	end := time.Now().Add(waiting)
-	n, number := 0, uint64(0)
-	err := until(ctx, waiting, func() (good bool) {
-		var err error
-		number, err = say(n%len(m.names), fmt.Sprint("last", n), impatient)
-		n++
-		return err == nil
-	})
-	if err != nil {
-		return err
-	}
-	return until(ctx, time.Until(end), func() bool {
-		for a := range m.names {
-			var v agent.View
-			err := m.Ask(ctx, a, func(ctx context.Context, c *agent.Client) (err error) { v, err = c.View(ctx); return err })
-			if err != nil || v.Applied < number {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-// lastLook notes what each agent tells now; true if all have what was answered last.
-func (m *Machines) lastLook(ctx context.Context, begin time.Time, r *Record) bool {
-	var last uint64
-	for _, s := range r.Said {
-		last = max(last, s.Number)
-	}
-	all := true
-	for a := range m.names {
-		s, err := m.look(ctx, a, begin)
-		if err != nil {
-			return false
-		}
-		r.Seen = append(r.Seen, s)
-		all = all && s.Applied >= last
-	}
-	return all
-}
-
-// look asks an agent what it knows.
-func (m *Machines) look(ctx context.Context, a int, begin time.Time) (Seen, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	s := Seen{Agent: a, At: time.Since(begin), Past: map[uint64]string{}}
-	err := m.Ask(ctx, a, func(ctx context.Context, c *agent.Client) error {
-		v, err := c.View(ctx)
-		s.Leads, s.Term, s.Applied = v.Leads, v.Term, v.Applied
-		for _, e := range v.Past {
-			s.Past[e.Number] = e.ID
-		}
-		return err
-	})
-	return s, err
-}
-
-// watch notes what an agent tells of itself.
-func (m *Machines) watch(ctx context.Context, a int, begin time.Time, done <-chan struct{}, note func(Seen)) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(seeing):
-		}
-		if s, err := m.look(ctx, a, begin); err == nil { // of one that is crashed or stopped nothing is seen
-			note(s)
-		}
-	}
-}
-
-// Shorten drops faults while what is left still breaks, and returns the shorter schedule. broken plays one.
-func Shorten(faults []Fault, broken func([]Fault) bool) []Fault {
-	for i := 0; i < len(faults); {
-		fewer := slices.Delete(slices.Clone(faults), i, i+1)
-		if len(fewer) > 0 && broken(fewer) {
-			faults = fewer
-		} else {
-			i++
-		}
-	}
-	return faults
-}
--- a/lab/experiment/agents.go
+++ b/lab/experiment/agents.go
@@ -6,39 +6,38 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"hatchproxy/agent"
 	"hatchproxy/agent/keeper"
 	"hatchproxy/agent/wanted"
+	"hatchproxy/lab/chaos"
 	"hatchproxy/lab/fleet"
 	"hatchproxy/lab/ledger"
 	"hatchproxy/lab/load"
 	"hatchproxy/logic"
 )
 
-// agents are the agents of a run, which start and keep its proxies.
+// agents are the agents of a run, which start and keep its proxies, each on a machine of its own.
 type agents struct {
-	binary    string
-	folder    string
-	listen    []string
-	plans     []string
+	*chaos.Machines
+	*chaos.Recorder
 	instances []*instance
 	watching  context.CancelFunc
 	watched   sync.WaitGroup
+	suffered  chan struct{} // a word for each fault that is over
+	broken    int           // breaches by what was agreed on and heard
+	record    chaos.Record
 
-	mu        sync.Mutex
-	processes []*exec.Cmd // nil for one that was killed
-	order     *load.Series
-	unheard   int
-	left      int
-	failed    int
+	mu      sync.Mutex
+	order   *load.Series
+	unheard int
+	left    int
+	failed  int
 }
 
 // managedPID is the process that the instance's agent has written down; 0 if there is none.
@@ -54,64 +53,72 @@
 	return p.PID
 }
 
-// startAgents writes the agents' files, starts them and waits until all proxies are ready.
-func (r *run) startAgents() error {
-	a := &agents{binary: r.Agent, folder: r.Folder, instances: r.proxies, order: load.NewSeries()}
-	r.agents = a
-	count := r.Control.Agents
-	var logs []string
-	for n := range count {
-		for _, into := range []*[]string{&a.listen, &logs} {
-			at, held, err := reserve(100 + n)
-			if err != nil {
-				return err
-			}
-			defer held.Close()
-			*into = append(*into, at)
+// startAgents lays the machines out, starts the agents and waits until all proxies are ready.
+func (r *run) startAgents(ctx context.Context) error {
+	a := &agents{instances: r.proxies, order: load.NewSeries(), suffered: make(chan struct{}, len(r.steps)*r.Control.Agents)}
+	c := r.Control
+	keeps := make([][]agent.Instance, c.Agents)
+	on := make([][]*instance, c.Agents)
+	for _, i := range r.proxies {
+		m := i.number % c.Agents
+		i.managed = filepath.Join(r.Folder, fmt.Sprintf("d%d", m), fmt.Sprintf("n%d.process", i.number))
+		on[m] = append(on[m], i)
+		keeps[m] = append(keeps[m], agent.Instance{Name: fmt.Sprintf("n%d", i.number), Command: []string{i.binary, "serve", "--config", i.configPath()},
+			Control: "unix:" + filepath.Join(r.Folder, fmt.Sprintf("n%d.sock", i.number))})
+	}
+	struck := func(m int, what chaos.Strike) {
+		for _, i := range on[m] {
+			r.noteProxy([...]ledger.Kind{ledger.ProxyKilled, ledger.ProxyStopped, ledger.ProxyWoken}[what], i.number)
 		}
 	}
-	for n := range count {
-		var text strings.Builder
-		data := filepath.Join(r.Folder, fmt.Sprintf("a%d", n))
-		fmt.Fprintf(&text, "name = \"a%d\"\nlisten = %q\nlog = %q\ndata = %q\n", n, a.listen[n], logs[n], data)
-		for m := range count {
-			if m != n {
-				fmt.Fprintf(&text, "[[peer]]\nname = \"a%d\"\nlisten = %q\nlog = %q\n", m, a.listen[m], logs[m])
-			}
+	severed := func(m, zone int, cut bool) {
+		kind := ledger.WayBack
+		if cut {
+			kind = ledger.WayCut
+		}
+		for _, i := range on[m] {
+			r.book.Write(ledger.Event{Kind: kind, Proxy: i.number, Server: ledger.None, Product: ledger.None, Value: int64(zone)})
 		}
+	}
+	var err error
+	a.Machines, err = chaos.Raise([]string{r.Agent, "serve", "--log-level", "info"}, r.Folder, chaos.Layout{Agents: c.Agents, Hear: c.Agents - c.voters(), Sites: c.sites(),
+		Seed: int64(r.Seed), Instances: func(m int) []agent.Instance { return keeps[m] }, Struck: struck, Severed: severed})
+	if err != nil {
+		return err
+	}
+	r.agents = a
+	if c.sites() > 1 {
+		// Each machine has a way of its own to each server, so that it can be cut off from some.
 		for _, i := range r.proxies {
-			if i.number%count != n {
-				continue
+			if err := i.front.Through(func(server int, endpoint string) (string, error) {
+				return a.Way(i.number%c.Agents, server%len(r.File.Fleet.Zones), endpoint)
+			}); err != nil {
+				return err
 			}
-			i.managed = filepath.Join(data, fmt.Sprintf("n%d.process", i.number))
-			fmt.Fprintf(&text, "[[instance]]\nname = \"n%d\"\ncommand = [%q, \"serve\", \"--config\", %q]\ncontrol = %q\n",
-				i.number, i.binary, i.configPath(), "unix:"+filepath.Join(r.Folder, fmt.Sprintf("n%d.sock", i.number)))
 		}
-		path := filepath.Join(r.Folder, fmt.Sprintf("a%d.toml", n))
-		if err := os.WriteFile(path, []byte(text.String()), 0o600); err != nil {
-			return err
-		}
-		a.plans = append(a.plans, path)
-		a.processes = append(a.processes, nil)
 	}
-	for n := range count {
-		if err := a.start(n); err != nil {
+	for n := range c.Agents {
+		if err := a.Start(n); err != nil {
 			return err
 		}
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	a.watching = cancel
+	if err := a.Rise(ctx); err != nil {
+		return fmt.Errorf("%w:\n%s", err, tail(a.Log(0), 10))
+	}
+	ctx, a.watching = context.WithCancel(ctx)
 	for _, i := range r.proxies {
 		a.watched.Go(func() { i.watch(ctx) })
 	}
 	for until := time.Now().Add(readyWithin * 2); ; time.Sleep(20 * time.Millisecond) {
 		if slices.IndexFunc(r.proxies, func(i *instance) bool { return !i.isOpen() }) < 0 {
-			return nil
+			break
 		}
 		if time.Now().After(until) {
-			return fmt.Errorf("the agents have not brought all proxies up:\n%s", tail(filepath.Join(r.Folder, "a0.log"), 10))
+			return fmt.Errorf("the agents have not brought all proxies up:\n%s", tail(a.Log(0), 10))
 		}
 	}
+	a.Recorder = a.Machines.Record(context.Background())
+	return nil
 }
 
 func (i *instance) isOpen() bool {
@@ -135,94 +142,61 @@
 	}
 }
 
-func (a *agents) start(n int) error {
-	log, err := os.OpenFile(filepath.Join(a.folder, fmt.Sprintf("a%d.log", n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	cmd := exec.Command(a.binary, "serve", a.plans[n])
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	a.mu.Lock()
-	a.processes[n] = cmd
-	a.mu.Unlock()
-	return nil
-}
-
-func (a *agents) kill(n int) {
-	a.mu.Lock()
-	cmd := a.processes[n]
-	a.processes[n] = nil
-	a.mu.Unlock()
-	if cmd != nil {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
-	}
-}
-
-// stop ends the agents first: they would start again what is ended.
+// stop ends the machines.
 func (a *agents) stop() {
-	for n := range a.processes {
-		a.kill(n)
-	}
 	if a.watching != nil {
 		a.watching()
 	}
-	for _, i := range a.instances {
-		i.signal(syscall.SIGCONT)
-		i.signal(syscall.SIGKILL)
-	}
 	a.watched.Wait()
-}
-
-// each asks one agent after the other until one answers.
-func (a *agents) each(ctx context.Context, ask func(context.Context, *agent.Client) error) (err error) {
-	for _, at := range a.listen {
-		c := agent.Dial(at)
-		call, cancel := context.WithTimeout(ctx, 4*time.Second)
-		err = ask(call, c)
-		cancel()
-		c.Close()
-		if err == nil {
-			return nil
-		}
-	}
-	return err
+	a.Close()
 }
 
 // say has a command agreed on; it is said again, under the same id, until it is.
 func (a *agents) say(ctx context.Context, c wanted.Command) (number uint64, err error) {
+	n := 0
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until) && ctx.Err() == nil; time.Sleep(30 * time.Millisecond) {
-		err = a.each(ctx, func(ctx context.Context, client *agent.Client) error {
-			number, err = client.Say(ctx, c)
-			return err
-		})
-		if err == nil {
+		if number, err = a.Say(ctx, n%a.Size(), c, 2*time.Second); err == nil {
 			return number, nil
 		}
+		n++
 	}
 	return 0, err
 }
 
-func (a *agents) whole(ctx context.Context) (v agent.View, err error) {
-	return v, a.each(ctx, func(ctx context.Context, c *agent.Client) error {
-		v, err = c.Whole(ctx)
-		return err
-	})
+// instancesNow is what each agent tells of those that it keeps; of one that does not answer nothing.
+func (a *agents) instancesNow(ctx context.Context) (all []agent.InstanceView) {
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for n := range a.Size() {
+		asking.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			_ = a.Ask(ctx, n, func(ctx context.Context, c *agent.Client) error {
+				v, err := c.View(ctx)
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, v.Instances...)
+				return err
+			})
+		})
+	}
+	asking.Wait()
+	return all
 }
 
 // toAgents does a step with the agents. What takes time goes on beside the script.
 func (r *run) toAgents(ctx context.Context, s fleet.Step, ends bool) {
+	kind, fault := faultOf(s.Kind)
 	switch {
-	case s.Kind == "agent-kill":
+	case fault && !ends:
 		for _, n := range s.Servers {
-			if !ends {
-				r.agents.kill(n)
-			} else if err := r.agents.start(n); err != nil {
-				r.failed(err)
+			f := chaos.Fault{Kind: kind, For: s.For.Span(), On: n}
+			r.busy.Go(func() {
+				r.failed(r.agents.Suffer(ctx, f))
+				r.agents.suffered <- struct{}{}
+			})
+			if kind == chaos.SiteDark {
+				r.busy.Go(func() { r.dark(ctx, n, s.For.Span()) })
 			}
 		}
 	case s.Kind == "order-drain":
@@ -234,6 +208,59 @@
 	}
 }
 
+// faultOf is the fault between machines that a trouble is: "fault-" and its kind.
+func faultOf(kind string) (chaos.Kind, bool) {
+	word, fault := strings.CutPrefix(kind, "fault-")
+	return chaos.Kind(word), fault
+}
+
+// dark has the servers of a site stop with its machines, and start cold when those are back.
+func (r *run) dark(ctx context.Context, site int, lasts time.Duration) {
+	t := fleet.Step{Trouble: fleet.Trouble{Kind: "restart", For: ledger.Of(lasts)}}
+	for n := range r.fleet.Servers {
+		if n%len(r.File.Fleet.Zones) == site {
+			t.Servers = append(t.Servers, n)
+		}
+	}
+	r.failed(r.fleet.Begin(t))
+	select {
+	case <-time.After(lasts):
+	case <-ctx.Done():
+	}
+	r.failed(r.fleet.End(t))
+}
+
+// settle waits, once the last fault is over, until agents and instances go by one new command.
+func (r *run) settle(ctx context.Context) {
+	for _, s := range r.steps {
+		if _, fault := faultOf(s.Kind); !fault || s.At >= r.length {
+			continue
+		}
+		for range s.Servers {
+			select {
+			case <-r.agents.suffered:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+	r.agents.Settle(ctx, "s-nobody")
+}
+
+// judgeAgents has the record judged.
+func (r *run) judgeAgents(ctx context.Context) {
+	a := r.agents
+	a.record = a.End(ctx)
+	for _, b := range chaos.Judge(a.record, chaos.Bound) {
+		a.broken++
+		r.tell("%9.3f %s: %s", b.At.Seconds(), b.Kind, b.What)
+	}
+	if a.broken > 0 {
+		path := filepath.Join(r.Folder, "agents.txt")
+		r.failed(os.WriteFile(path, []byte(a.record.Tell()), 0o600))
+	}
+}
+
 // heardWithin is how long instances have to hear an order before it counts as unheard.
 const heardWithin = 10 * time.Second
 
@@ -255,11 +282,7 @@
 	noted := map[string]bool{}
 	begin := logic.Micros(r.book.Time(0).UnixMicro())
 	for until := time.Now().Add(heardWithin); len(noted) < len(r.proxies) && time.Now().Before(until) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
-		v, err := r.agents.whole(ctx)
-		if err != nil {
-			continue
-		}
-		for _, i := range v.Instances {
+		for _, i := range r.agents.instancesNow(ctx) {
 			h := i.Heard[uid]
 			if noted[i.Name] || h.Number < number {
 				continue
@@ -320,12 +343,8 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		v, err := r.agents.whole(ctx)
-		if err != nil {
-			continue
-		}
 		good := 0
-		for _, i := range v.Instances {
+		for _, i := range r.agents.instancesNow(ctx) {
 			if slices.Contains(names, i.Name) && i.Restarted >= number && i.State == keeper.Ready {
 				good++
 			}
@@ -347,4 +366,11 @@
 		f["order-p"+q] = float64(a.order.At(x/100)) / 1000
 	}
 	f["orders-unheard"], f["drained-left"], f["restarts-failed"] = float64(a.unheard), float64(a.left), float64(a.failed)
+	f["agents-broken"], f["settled-s"], f["told-s"] = float64(a.broken), -1, -1
+	if a.record.Settled > 0 {
+		f["settled-s"] = a.record.Settled.Seconds()
+	}
+	if a.record.Told > 0 {
+		f["told-s"] = a.record.Told.Seconds()
+	}
 }
--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -52,10 +52,8 @@
 		Dispatches int
 		Grace      Span
 	}
-	Control struct {
-		Agents int // 0: the proxies are started by the rig itself, without a control surface
-	}
-	Fleet struct {
+	Control Control
+	Fleet   struct {
 		Servers            int
 		Zones              []string
 		Between            Span
@@ -115,6 +113,30 @@
 	trace  []load.Arrival
 }
 
+// Control is what keeps the proxies.
+type Control struct {
+	Agents int // each on a machine of its own; 0: the proxies are started by the rig itself, without a control surface
+	Voters int // of the agents; 0 for all
+	Sites  int // machine m stands in site m modulo this, with the servers of zone m modulo this; 0 for one
+}
+
+func (c Control) voters() int { return cmp.Or(c.Voters, c.Agents) }
+func (c Control) sites() int  { return cmp.Or(c.Sites, 1) }
+
+// counts is how many there are of what a kind of trouble is for.
+func (f *File) counts(kind string) int {
+	fault, is := faultOf(kind)
+	switch {
+	case is && fault.OfSite():
+		return f.Control.sites()
+	case is:
+		return f.Control.Agents
+	case fleet.OfProxies(kind):
+		return f.Proxies.Count
+	}
+	return f.Fleet.Servers
+}
+
 // Read reads a file and checks it; the error names the place and the cause of each fault.
 func Read(path string) (*File, error) {
 	text, err := os.ReadFile(path)
@@ -177,7 +199,11 @@
 		wrong("seeds", "are none")
 	}
 	between("proxies.count", float64(f.Proxies.Count), 1, 64)
-	between("control.agents", float64(f.Control.Agents), 0, 9)
+	between("control.agents", float64(f.Control.Agents), 0, 64)
+	between("control.voters", float64(f.Control.voters()), 0, float64(f.Control.Agents))
+	if n := f.Control.sites(); n > 1 && (n != len(f.Fleet.Zones) || f.Control.Agents%n != 0 || f.Control.Agents == 0) {
+		wrong("control.sites", "%d sites need as many zones, and agents that divide among them", n)
+	}
 	between("proxies.sockets", float64(f.Proxies.Sockets), 64, 1<<20)
 	between("fleet.servers", float64(f.Fleet.Servers), 1, 2000)
 	between("fleet.zones", float64(len(f.Fleet.Zones)), 1, 8)
@@ -245,13 +271,7 @@
 			wrong(at+".kind", "%q is none of %s", t.Kind, strings.Join(slices.Sorted(maps.Keys(fleet.Kinds)), ", "))
 			continue
 		}
-		of := f.Fleet.Servers
-		if fleet.OfProxies(t.Kind) {
-			of = f.Proxies.Count
-		}
-		if t.Kind == "agent-kill" {
-			of = f.Control.Agents
-		}
+		of := f.counts(t.Kind)
 		if fleet.OfAgents(t.Kind) && f.Control.Agents == 0 {
 			wrong(at+".kind", "%q needs control.agents", t.Kind)
 		}
@@ -259,7 +279,7 @@
 			between(at+".servers", float64(n), 0, float64(of-1))
 		}
 		between(at+".part", t.Part, 0, 1)
-		if t.Part == 0 && t.Servers == nil && t.Kind != "store" && t.Kind != "rolling-restart" && !strings.HasPrefix(t.Kind, "list-") {
+		if t.Part == 0 && t.Servers == nil && t.Kind != "store" && t.Kind != "rolling-restart" && !strings.HasPrefix(t.Kind, "list-") && !fleet.OfAll(t.Kind) {
 			wrong(at, "nobody is in trouble: part or servers is needed")
 		}
 		if slices.Contains([]string{"errors", "resets", "drop"}, t.Kind) {
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -90,6 +90,9 @@
 	{"order-pQ", "ms from when an order was given until an instance heard it"},
 	{"orders-unheard", "orders that an instance had not heard within 10 s, of all instances that were not stopped"},
 	{"drained-left", "connections that stood at a server 8 s after the last instance heard that it drains, or at the order's end"},
+	{"agents-broken", "promises broken by what was agreed on and what instances go by (docs/faults.md)"},
+	{"settled-s", "seconds from the last fault's end until all agents have a new command; -1 for never"},
+	{"told-s", "seconds from then until all instances go by it; -1 for never"},
 	{"restarts-failed", "rolling restarts that did not end well"},
 	{"crashes", "proxies that ended by themselves"},
 	{"proxy-cpu", "cores that the proxies used, on average"}, {"proxy-mb", "memory of the largest proxy, MB"},
@@ -152,7 +155,7 @@
 		r.length = min(r.length, quickest)
 	}
 	var err error
-	if r.steps, err = fleet.Draw(f.script(), f.Fleet.Servers, f.Proxies.Count, f.Control.Agents, o.Seed); err != nil {
+	if r.steps, err = fleet.Draw(f.script(), f.counts, o.Seed); err != nil {
 		return nil, err
 	}
 	if r.fleet, err = fleet.Start(r.book, f.Plan(), o.Seed); err != nil {
@@ -161,7 +164,7 @@
 	defer r.fleet.Stop()
 	if o.Way == ByProxies {
 		defer r.stop()
-		if err := r.startProxies(); err != nil {
+		if err := r.startProxies(ctx); err != nil {
 			return nil, err
 		}
 	}
@@ -170,7 +173,7 @@
 	return r.play(ctx)
 }
 
-func (r *run) startProxies() error {
+func (r *run) startProxies(ctx context.Context) error {
 	for n := range r.File.Proxies.Count {
 		zone := n % len(r.File.Fleet.Zones)
 		front, err := r.fleet.Front(n, zone)
@@ -189,7 +192,7 @@
 		r.proxies = append(r.proxies, i)
 	}
 	if r.Control.Agents > 0 {
-		return r.startAgents()
+		return r.startAgents(ctx)
 	}
 	faults := make([]error, len(r.proxies))
 	var starting sync.WaitGroup
@@ -284,6 +287,9 @@
 	start := r.clients.Start()
 	var scripted sync.WaitGroup
 	scripted.Go(func() { r.troubles(ctx, start) })
+	if r.agents != nil {
+		scripted.Go(func() { r.settle(ctx) })
+	}
 	if r.Way == BySight {
 		go r.relieve(ctx)
 	}
@@ -321,6 +327,9 @@
 	scripted.Wait()
 	r.busy.Wait()
 	r.clients.Wait()
+	if r.agents != nil {
+		r.judgeAgents(ctx)
+	}
 	// What is still under way at servers ends, so that the record is whole.
 	time.Sleep(winding.Span() / 4)
 	if r.fault != nil {
@@ -578,6 +587,9 @@
 	if result.Figures["breaches"] > 0 {
 		result.Shortfalls = append(result.Shortfalls, fmt.Sprintf("%g broken rules", result.Figures["breaches"]))
 	}
+	if result.Figures["agents-broken"] > 0 {
+		result.Shortfalls = append(result.Shortfalls, fmt.Sprintf("%g promises of agents and instances broken", result.Figures["agents-broken"]))
+	}
 	if result.Figures["crashes"] > 0 {
 		result.Shortfalls = append(result.Shortfalls, fmt.Sprintf("%g proxies crashed", result.Figures["crashes"]))
 	}
--- a/lab/fleet/discovery.go
+++ b/lab/fleet/discovery.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -86,7 +87,8 @@
 	lag     Micros
 	frozen  int64 // the version that it goes on telling; 0 if the newest
 	broken  string
-	told    map[int]int64 // the version last told, by server
+	told    map[int]int64     // the version last told, by server
+	reached map[string]string // by endpoint
 	calls   int
 }
 
@@ -124,6 +126,27 @@
 	return f.address
 }
 
+// Through has it tell, for each endpoint, where its proxy reaches that; asked once for each, now for those on the list.
+func (f *Front) Through(way func(server int, endpoint string) (string, error)) error {
+	f.list.mu.Lock()
+	history := f.list.history
+	f.list.mu.Unlock()
+	reached := map[string]string{}
+	for _, e := range history {
+		at := e.endpoints[f.zone]
+		if reached[at] == "" {
+			var err error
+			if reached[at], err = way(e.server, at); err != nil {
+				return err
+			}
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached = reached
+	return nil
+}
+
 // Calls tells how many calls have come.
 func (f *Front) Calls() int {
 	f.mu.Lock()
@@ -271,6 +294,9 @@
 			continue
 		}
 		e.Endpoint, e.State = e.endpoints[f.zone], stateWords[e.state]
+		f.mu.Lock()
+		e.Endpoint = cmp.Or(f.reached[e.Endpoint], e.Endpoint)
+		f.mu.Unlock()
 		answer.Targets = append(answer.Targets, e)
 	}
 	if json.NewEncoder(w).Encode(answer) != nil {
--- a/lab/fleet/machine_test.go
+++ b/lab/fleet/machine_test.go
@@ -77,17 +77,27 @@
 
 func TestAScriptIsDrawnTheSameFromTheSameSeed(t *testing.T) {
 	script := []Trouble{{Kind: "slow", At: 5 * second, Part: 0.25, Size: 8}, {Kind: "proxy-kill", At: second, Part: 1}, {Kind: "store", At: 2 * second}}
-	a, err := Draw(script, 40, 3, 0, 7)
+	a, err := Draw(script, of(40, 3), 7)
 	require.NoError(t, err)
-	b, _ := Draw(script, 40, 3, 0, 7)
+	b, _ := Draw(script, of(40, 3), 7)
 	require.Equal(t, a, b)
 	require.Equal(t, "proxy-kill", a[0].Kind, "in the order of time")
 	require.Equal(t, []int{0, 1, 2}, a[0].Servers)
 	require.Len(t, a[2].Servers, 10)
-	c, _ := Draw(script, 40, 3, 0, 8)
+	c, _ := Draw(script, of(40, 3), 8)
 	require.NotEqual(t, a[2].Servers, c[2].Servers)
-	_, err = Draw([]Trouble{{Kind: "odd"}}, 4, 1, 0, 1)
+	_, err = Draw([]Trouble{{Kind: "odd"}}, of(4, 1), 1)
 	require.ErrorIs(t, err, errKind)
-	_, err = Draw([]Trouble{{Kind: "slow", Servers: []int{4}}}, 4, 1, 0, 1)
+	_, err = Draw([]Trouble{{Kind: "slow", Servers: []int{4}}}, of(4, 1), 1)
 	require.Error(t, err)
 }
+
+// of is so many servers, and so many proxies.
+func of(servers, proxies int) func(string) int {
+	return func(kind string) int {
+		if OfProxies(kind) {
+			return proxies
+		}
+		return servers
+	}
+}
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -53,8 +53,26 @@
 	"proxy-reload": "proxies get SIGHUP with a configuration that is the same",
 
 	"order-drain":     "the agents are told to have the servers drained, and to undo it when the time is over",
-	"agent-kill":      "agents are killed, and start again when the time is over",
 	"rolling-restart": "all proxies are started anew by their agents, a share SIZE at a time",
+
+	"fault-cut":        "machines are cut off from all others, silently; they reach their servers",
+	"fault-one-way":    "machines hear the others, and none hears them",
+	"fault-deaf":       "the others hear machines that hear none",
+	"fault-reset":      "as fault-cut, and all connections between machines are broken off",
+	"fault-slow":       "all links between machines are 500 ms late, and a fifth of the pieces sent again",
+	"fault-flap":       "machines are cut off and back each 300 ms",
+	"fault-ring":       "each machine sees its two neighbours alone",
+	"fault-site-cut":   "sites are cut off from the others: machines, and their ways to the servers of other zones",
+	"fault-crash":      "machines crash with all that runs there, and are back when the time is over",
+	"fault-crash-all":  "all machines crash at once, and are back one by one over the time",
+	"fault-stall":      "machines stop with all that runs there, and go on",
+	"fault-disk-lost":  "machines crash, and are back with their disks empty",
+	"fault-disk-old":   "machines crash at the end, and are back with their disks as they were at the begin",
+	"fault-disk-full":  "nothing grows any more on the disks of machines' agents",
+	"fault-site-dark":  "all machines and servers of sites stop at once; the servers are back cold",
+	"fault-agent-dead": "machines' agents are killed and not their instances, and start again when the time is over",
+	"fault-sleep":      "machines' instances stop and not their agents, and go on",
+	"fault-no-servers": "machines are cut off from all servers, and not from each other",
 }
 
 // OfProxies tells whether a kind is for who runs the proxies, and its numbers are theirs.
@@ -62,25 +80,28 @@
 
 // OfAgents tells whether a kind is for who speaks with the agents.
 func OfAgents(kind string) bool {
-	return kind == "order-drain" || kind == "agent-kill" || kind == "rolling-restart"
+	return kind == "order-drain" || kind == "rolling-restart" || strings.HasPrefix(kind, "fault-")
+}
+
+// OfAll tells whether a kind is for all there are, and names none.
+func OfAll(kind string) bool {
+	return kind == "store" || kind == "rolling-restart" || kind == "fault-slow" || kind == "fault-ring" || kind == "fault-crash-all"
 }
 
-// Draw draws the servers of a script: the same seed gives the same steps, in the order of time.
-func Draw(script []Trouble, servers, proxies, agents int, seed uint64) ([]Step, error) {
+// Draw draws the servers of a script, of as many as counts tells for its kind: the same seed gives the same steps, in the order of
+// time.
+func Draw(script []Trouble, counts func(kind string) int, seed uint64) ([]Step, error) {
 	rng := rand.New(rand.NewPCG(seed, 0x7120b1e))
 	steps := make([]Step, 0, len(script))
 	for i, t := range script {
 		if _, known := Kinds[t.Kind]; !known {
 			return nil, fmt.Errorf("trouble %d: %w: %q", i+1, errKind, t.Kind)
 		}
-		of := servers
-		if OfProxies(t.Kind) {
-			of = proxies
-		}
-		if t.Kind == "agent-kill" {
-			of = agents
-		}
-		if t.Servers == nil && t.Kind != "store" && t.Kind != "rolling-restart" {
+		of := counts(t.Kind)
+		switch {
+		case strings.HasPrefix(t.Kind, "fault-") && OfAll(t.Kind):
+			t.Servers = []int{0} // once, for all
+		case t.Servers == nil && !OfAll(t.Kind):
 			t.Servers = choose(rng, of, int(math.Ceil(t.Part*float64(of)-1e-9)))
 		}
 		for _, n := range t.Servers {
--- a/lab/ledger/judge.go
+++ b/lab/ledger/judge.go
@@ -110,7 +110,8 @@
 // trial is a judgement under way.
 type trial struct {
 	terms   Terms
-	stopped map[int][]span // of proxies, by the rig itself: what is late then is not theirs
+	stopped map[int][]span    // of proxies, by the rig itself: what is late then is not theirs
+	severed map[[2]int][]span // by proxy and zone: what passed there was held by the rig
 	killed  map[int][]Micros
 	told    map[[2]int][]Event // by proxy and server
 	found   []Breach
@@ -118,7 +119,7 @@
 
 // Judge finds all breaches in a record that is in the order of time.
 func Judge(events []Event, terms Terms) []Breach {
-	t := &trial{terms: terms, stopped: map[int][]span{}, killed: map[int][]Micros{}, told: map[[2]int][]Event{}}
+	t := &trial{terms: terms, stopped: map[int][]span{}, severed: map[[2]int][]span{}, killed: map[int][]Micros{}, told: map[[2]int][]Event{}}
 	byID := map[ID][]Event{}
 	for _, e := range events {
 		switch e.Kind {
@@ -128,6 +129,13 @@
 			if s := t.stopped[e.Proxy]; len(s) > 0 {
 				s[len(s)-1].to = e.At
 			}
+		case WayCut:
+			way := [2]int{e.Proxy, int(e.Value)}
+			t.severed[way] = append(t.severed[way], span{e.At, terms.End})
+		case WayBack:
+			if s := t.severed[[2]int{e.Proxy, int(e.Value)}]; len(s) > 0 {
+				s[len(s)-1].to = e.At
+			}
 		case ProxyKilled:
 			t.killed[e.Proxy] = append(t.killed[e.Proxy], e.At)
 		case Told:
@@ -167,6 +175,19 @@
 	return sum
 }
 
+// cut is the last stretch that began by a time in which a proxy's way to a server was cut, and how long it was before then.
+func (t *trial) cut(proxy, server int, by Micros) (found span, lasted Micros) {
+	if server < 0 || server >= len(t.terms.Servers) {
+		return span{}, 0
+	}
+	for _, s := range t.severed[[2]int{proxy, t.terms.Servers[server].Zone}] {
+		if s.from <= by {
+			found, lasted = s, min(s.to, by)-s.from
+		}
+	}
+	return found, lasted
+}
+
 // died tells whether the rig killed a proxy within a stretch of time.
 func (t *trial) died(proxy int, from, to Micros) bool {
 	return slices.ContainsFunc(t.killed[proxy], func(at Micros) bool { return at >= from-slack && at <= to+slack })
@@ -292,6 +313,9 @@
 			if e.Kind == LineHeld && t.paused(a.proxy, e.At-Micros(e.Value)-slack, e.At) > 0 {
 				continue
 			}
+			if s, lasted := t.cut(a.proxy, e.Server, e.At); e.Kind == LineHeld && lasted > 0 && s.to+slack > e.At-Micros(e.Value) {
+				continue
+			}
 			t.convict(Lines, e.At, id, events, "%s: %s", e.Kind, e.Note)
 		}
 	}
@@ -468,6 +492,15 @@
 		}
 	}
 	end := a.serverEnd
+	way, lasted := t.cut(a.proxy, a.sayer, over)
+	if lasted > 0 && way.to > a.answer.At {
+		if lasted > silentWithin+slack+t.paused(a.proxy, way.from, over) && way.from > a.answer.At {
+			t.convict(Silence, over, a.id, a.events, "its way was cut for %s", lasted)
+		}
+		if over < way.to+Second {
+			return // how its server ended it, or it did, was not to be seen at the proxy
+		}
+	}
 	if a.ended != nil && a.moved == nil && !a.serverWasSilent && (end == nil || end.At > a.ended.At+slack) &&
 		!t.died(a.proxy, a.ended.At-Second, a.ended.At) {
 		t.convict(CutOff, a.ended.At, a.id, a.events, "cut off without MOVE while its server answered")
--- a/lab/ledger/ledger.go
+++ b/lab/ledger/ledger.go
@@ -81,6 +81,9 @@
 	ProxyWoken
 	Trouble // one began or ended; Note tells which
 	CarriedAsk
+	// WayCut: nothing passes between a proxy and the servers of a zone, whose number is the Value; WayBack: it does again.
+	WayCut
+	WayBack
 )
 
 var words = [...]string{
@@ -96,6 +99,7 @@
 	LineChanged: "a line was changed", Told: "discovery told", TippedOver: "a cold server tipped over",
 	ProxyKilled: "the proxy was killed", ProxyBack: "the proxy is back", ProxyStopped: "the proxy was stopped",
 	ProxyWoken: "the proxy was woken", Trouble: "trouble", CarriedAsk: "it stood before the run",
+	WayCut: "the proxy's ways to a zone were cut", WayBack: "the proxy's ways to a zone were back",
 }
 
 func (k Kind) String() string { return words[k] }
--- a/lab/links/links.go
+++ b/lab/links/links.go
@@ -49,6 +49,7 @@
 type call struct {
 	from, to string
 	ends     [2]*net.TCPConn
+	way      bool // it is lost when a side ends it in a cut
 	once     sync.Once
 	over     chan struct{}
 	mu       sync.Mutex
@@ -71,6 +72,17 @@
 // Serve relays what comes to the address that a machine's service advertises to the one where it listens. An address
 // with port 0 gets a free one. It returns what is to be advertised.
 func (n *Net) Serve(machine, advertised, listens string) (string, error) {
+	return n.listen("", machine, advertised, listens)
+}
+
+// Way relays what one machine sends to a service of another: who calls there is known by the address that was called, not by the
+// one that it dials from. A side that ends it while a direction is cut ends it for both, and what was under way is lost, as
+// with a reset: nobody answers for what comes out of a cut after its sender has given it up. It returns where to call.
+func (n *Net) Way(from, to, listens string) (string, error) {
+	return n.listen(from, to, "127.0.0.1:0", listens)
+}
+
+func (n *Net) listen(from, machine, advertised, listens string) (string, error) {
 	l, err := net.Listen("tcp", advertised)
 	if err != nil {
 		return "", err
@@ -84,7 +96,7 @@
 			if err != nil {
 				return
 			}
-			n.running.Go(func() { n.relay(machine, listens, c.(*net.TCPConn)) })
+			n.running.Go(func() { n.relay(from, machine, listens, c.(*net.TCPConn)) })
 		}
 	})
 	return l.Addr().String(), nil
@@ -161,19 +173,25 @@
 	})
 }
 
-func (n *Net) relay(to, listens string, in *net.TCPConn) {
-	caller := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
-	n.mu.Lock()
-	from, known := n.machines[caller]
-	n.mu.Unlock()
-	if !known {
-		_ = in.SetLinger(0)
-		_ = in.Close()
-		return
+func (n *Net) relay(from, to, listens string, in *net.TCPConn) {
+	way := from != ""
+	if !way {
+		caller := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+		n.mu.Lock()
+		var known bool
+		from, known = n.machines[caller]
+		n.mu.Unlock()
+		if !known {
+			_ = in.SetLinger(0)
+			_ = in.Close()
+			return
+		}
 	}
 	// A connection comes up only through two sound directions: the caller waits in silence until then.
-	for _, way := range [][2]string{{from, to}, {to, from}} {
-		if !n.await(way[0], way[1], nil) {
+	for _, d := range [][2]string{{from, to}, {to, from}} {
+		t, _ := n.trouble(d[0], d[1])
+		if good := n.await(d[0], d[1], nil); !good || way && t.Cut {
+			_ = in.SetLinger(0) // what its caller has sent meanwhile, and perhaps given up, goes nowhere
 			_ = in.Close()
 			return
 		}
@@ -184,7 +202,7 @@
 		_ = in.Close()
 		return
 	}
-	c := &call{from: from, to: to, ends: [2]*net.TCPConn{in, out.(*net.TCPConn)}, over: make(chan struct{}), last: time.Now()}
+	c := &call{from: from, to: to, ends: [2]*net.TCPConn{in, out.(*net.TCPConn)}, way: way, over: make(chan struct{}), last: time.Now()}
 	n.mu.Lock()
 	n.calls[c] = true
 	n.mu.Unlock()
@@ -235,6 +253,9 @@
 			b := make([]byte, piece)
 			k, err := in.Read(b)
 			t, _ := n.trouble(from, to)
+			if err != nil && c.way && t.Cut {
+				c.end(true)
+			}
 			now := time.Now()
 			due := now.Add(t.Delay + time.Duration(n.draw()*float64(t.Jitter)))
 			for wait := retransmit; t.Lost > 0 && wait < 8*retransmit && n.draw() < t.Lost; wait *= 2 {
--- a/lab/rogue/rogue_test.go
+++ b/lab/rogue/rogue_test.go
@@ -98,7 +98,7 @@
 	require.NoError(t, err)
 	defer proxy.Close()
 
-	steps, err := fleet.Draw(script, 3, 1, 0, 5)
+	steps, err := fleet.Draw(script, func(string) int { return 3 }, 5)
 	require.NoError(t, err)
 	for _, s := range steps {
 		defer time.AfterFunc(s.At.Span(), func() { require.NoError(t, f.Begin(s)) }).Stop()
