Agents' ages no longer follow the time of day; a word to a cut-off leader ends soon

Seen: with the time of day set back an hour an agent asked its instances nothing for that hour (next = now + 0.5 s), so that they heard no order: TestInstancesSleep... with ages by the time of day is convicted, 'not settled'. Seen: a command passed on to a leader that had just been cut off was answered after 4.0 s (the cut's length; up to 6 s). With the watch taken out the test fails.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -115,6 +115,7 @@
 // Agent is one that runs.
 type Agent struct {
 	config    *Plan
+	clock     *Clock
 	log       *slog.Logger
 	journal   *Journal
 	instances []*instance
@@ -140,21 +141,21 @@
 }
 
 // Run keeps the agent until ctx ends. Its instances go on without it.
-func Run(ctx context.Context, p *Plan, log *slog.Logger) error {
+func Run(ctx context.Context, p *Plan, clock *Clock, log *slog.Logger) error {
 	log = log.With("agent", p.Name)
 	journal, err := openJournal(p)
 	if err != nil {
 		return err
 	}
-	a := &Agent{config: p, log: log, journal: journal, there: members.New(suspect, lose, settle)}
+	a := &Agent{config: p, clock: clock, log: log, journal: journal, there: members.New(suspect, lose, settle)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, c := range p.Instance {
-		a.there.Expect(now(), c.Name, "instance")
+		a.there.Expect(a.clock.Now(), c.Name, "instance")
 		a.instances = append(a.instances, a.newInstance(c))
 	}
 	for _, peer := range a.followed() {
-		a.there.Expect(now(), peer.Name, "agent")
+		a.there.Expect(a.clock.Now(), peer.Name, "agent")
 	}
 	surface, err := a.serve(ctx)
 	if err != nil {
@@ -218,7 +219,7 @@
 			return
 		}
 		a.roll(func(r roll) {
-			for _, m := range r.Tick(now()) {
+			for _, m := range r.Tick(a.clock.Now()) {
 				a.log.Warn("a member's state", "member", m.Name, "kind", m.Kind, "state", m.State)
 			}
 		})
@@ -246,7 +247,7 @@
 	for {
 		call, cancel := context.WithTimeout(ctx, answering)
 		if err := c.Ping(call); err == nil {
-			a.roll(func(r roll) { r.Heard(now(), peer.Name) })
+			a.roll(func(r roll) { r.Heard(a.clock.Now(), peer.Name) })
 		}
 		cancel()
 		select {
@@ -293,7 +294,7 @@
 // view is what this agent knows by itself.
 func (a *Agent) view() View {
 	leads, term := a.journal.Leads()
-	v := View{Agent: a.config.Name, Leader: a.journal.Leader(), Leads: leads, Term: term, Voters: a.journal.voters(), Now: now(), Past: []wanted.Entry{}, Silent: []string{}}
+	v := View{Agent: a.config.Name, Leader: a.journal.Leader(), Leads: leads, Term: term, Voters: a.journal.voters(), Now: a.clock.Wall(), Past: []wanted.Entry{}, Silent: []string{}}
 	states := map[string]members.State{}
 	a.roll(func(r roll) {
 		v.Members = r.All()
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -40,7 +40,7 @@
 		signal.Ignore(syscall.SIGXFSZ)
 		plan, err := agent.ReadPlan(os.Args[1])
 		if err == nil {
-			err = agent.Run(context.Background(), plan, quiet)
+			err = agent.Run(context.Background(), plan, agent.Sound(), quiet)
 		}
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
@@ -515,7 +515,7 @@
 	require.NoError(t, os.WriteFile(path, torn, 0o600))
 	plan, err := agent.ReadPlan(s.plans[0])
 	require.NoError(t, err)
-	err = agent.Run(context.Background(), plan, slog.New(slog.DiscardHandler))
+	err = agent.Run(context.Background(), plan, agent.Sound(), slog.New(slog.DiscardHandler))
 	require.ErrorContains(t, err, path)
 	require.ErrorContains(t, err, "nothing was changed")
 	now, _ := os.ReadFile(path)
--- /dev/null
+++ b/agent/clock.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"hatchproxy/logic"
+)
+
+// Clock is what an agent reads the time from. Ages and waits are taken from Now, which no jump of the machine's clock moves;
+// Wall is for what is told to others as a time of day. The zero value is not ready for use.
+type Clock struct {
+	began time.Time
+	rate  float64       // how fast it runs beside the machine's; 1 but in tests
+	off   time.Duration // how far the time of day is off at the start; 0 but in tests
+	jump  time.Duration // by how much it jumps, after a while; 0 but in tests
+	after time.Duration
+}
+
+// Sound is the machine's clock.
+func Sound() *Clock { return &Clock{began: time.Now(), rate: 1} }
+
+// FaultyClock makes one for tests, as "rate=1.05,off=-1h,jump=1h@2s" says: it runs that many times as fast, is off by so much at
+// the start, and jumps by so much after a while. What is not named is sound.
+func FaultyClock(text string) (*Clock, error) {
+	c := Sound()
+	if text == "" {
+		return c, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(part, "=")
+		var err error
+		switch name {
+		case "rate":
+			c.rate, err = strconv.ParseFloat(value, 64)
+			if err == nil && !(c.rate >= 0.5 && c.rate <= 2) {
+				err = fmt.Errorf("%g is not between 0.5 and 2", c.rate)
+			}
+		case "off":
+			c.off, err = time.ParseDuration(value)
+		case "jump":
+			by, at, _ := strings.Cut(value, "@")
+			if c.jump, err = time.ParseDuration(by); err == nil {
+				c.after, err = time.ParseDuration(at)
+			}
+		default:
+			err = fmt.Errorf("%q is none of rate, off, jump", name)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("test clock %q: %w", part, err)
+		}
+	}
+	return c, nil
+}
+
+// ran is how long it has run by its own count.
+func (c *Clock) ran() time.Duration { return time.Duration(float64(time.Since(c.began)) * c.rate) }
+
+// Now is a time that only grows, in microseconds; it is near Unix time and no time of day.
+func (c *Clock) Now() logic.Micros {
+	return logic.Micros(c.began.UnixMicro() + c.ran().Microseconds())
+}
+
+// Wall is the time of day, in Unix microseconds. On a sound clock it follows what the machine's is set to.
+func (c *Clock) Wall() logic.Micros {
+	if c.rate == 1 && c.off == 0 && c.jump == 0 {
+		return logic.Micros(time.Now().UnixMicro())
+	}
+	at := c.began.Add(c.ran() + c.off)
+	if c.jump != 0 && time.Since(c.began) >= c.after {
+		at = at.Add(c.jump)
+	}
+	return logic.Micros(at.UnixMicro())
+}
--- a/agent/instance.go
+++ b/agent/instance.go
@@ -56,8 +56,6 @@
 	looking = 50 * time.Millisecond
 )
 
-func now() logic.Micros { return logic.Micros(time.Now().UnixMicro()) }
-
 func (a *Agent) newInstance(c Instance) *instance {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(a.config.Name + "/" + c.Name))
@@ -72,7 +70,7 @@
 // run keeps the instance until ctx ends; the process goes on then.
 func (i *instance) run(ctx context.Context) {
 	if i.process = found(i.path("process")); i.process != nil {
-		i.keeper.Adopt(now(), i.process.Restart, false)
+		i.keeper.Adopt(i.agent.clock.Now(), i.process.Restart, false)
 		i.agent.log.Info("an instance was found running", "instance", i.Name, "pid", i.process.PID)
 	}
 	next := logic.Micros(0)
@@ -81,8 +79,8 @@
 		i.want()
 		i.tend(ctx)
 		if i.process != nil {
-			if now() >= next {
-				next = now() + polling
+			if i.agent.clock.Now() >= next {
+				next = i.agent.clock.Now() + polling
 				i.poll(ctx)
 			}
 			i.tell(ctx)
@@ -104,7 +102,7 @@
 func (i *instance) want() {
 	i.agent.journal.View(func(s *wanted.State) {
 		w, run := s.Runs(i.Name)
-		i.keeper.Want(now(), run && i.agent.settled, w.Restart)
+		i.keeper.Want(i.agent.clock.Now(), run && i.agent.settled, w.Restart)
 	})
 }
 
@@ -113,21 +111,21 @@
 	if i.process != nil {
 		if over, why := i.process.gone(); over {
 			i.process = nil
-			i.keeper.Ended(now(), why)
+			i.keeper.Ended(i.agent.clock.Now(), why)
 			i.forget()
 			if s, falls, _ := i.keeper.State(); s == keeper.Looping {
 				i.agent.log.Error("an instance falls again and again", "instance", i.Name, "falls", falls, "why", why)
 			}
 		}
 	}
-	do, _ := i.keeper.Next(now())
+	do, _ := i.keeper.Next(i.agent.clock.Now())
 	switch do {
 	case keeper.Start:
 		if !i.adopt(ctx) {
 			i.start()
 		}
 	case keeper.Leave:
-		i.agent.roll(func(r roll) { r.Leaves(now(), i.Name) })
+		i.agent.roll(func(r roll) { r.Leaves(i.agent.clock.Now(), i.Name) })
 		i.process.signal(syscall.SIGTERM)
 	case keeper.Kill:
 		i.agent.log.Warn("an instance is killed: it was not ready, or did not leave, in time", "instance", i.Name)
@@ -151,14 +149,14 @@
 		}
 		p.Start, p.Restart = start, intended(i.path("process"))
 		i.process = p
-		i.keeper.Adopt(now(), p.Restart, st.Ready)
+		i.keeper.Adopt(i.agent.clock.Now(), p.Restart, st.Ready)
 		i.agent.log.Info("an instance was found by its control surface", "instance", i.Name, "pid", p.PID)
 		if err := p.save(i.path("process")); err != nil {
 			i.agent.log.Error("it cannot be written down which process an instance is", "instance", i.Name, "error", err)
 		}
 		return true
 	case errors.Is(err, context.DeadlineExceeded):
-		i.keeper.Failed(now(), "somebody is at its control address and does not answer")
+		i.keeper.Failed(i.agent.clock.Now(), "somebody is at its control address and does not answer")
 		return true
 	}
 	return false
@@ -174,7 +172,7 @@
 	}
 	if err == nil {
 		command := append(append([]string{}, i.Command...), "--control", i.Control, "--orders", i.path("orders"))
-		i.keeper.Began(now())
+		i.keeper.Began(i.agent.clock.Now())
 		// What it is started for is written down first: whoever finds the process knows it by that.
 		err = (&process{Restart: i.keeper.Restarted()}).save(i.path("process"))
 		if err == nil {
@@ -187,7 +185,7 @@
 	if err != nil {
 		i.agent.log.Error("an instance cannot be started", "instance", i.Name, "error", err)
 		if i.process == nil {
-			i.keeper.Ended(now(), err.Error())
+			i.keeper.Ended(i.agent.clock.Now(), err.Error())
 		}
 	}
 }
@@ -215,15 +213,15 @@
 		i.epoch = st.Started
 	}
 	i.mu.Lock()
-	i.status, i.polled = &st, now()
+	i.status, i.polled = &st, i.agent.clock.Wall()
 	i.mu.Unlock()
 	if st.Ready && !st.Leaving {
-		i.keeper.Answers(now())
+		i.keeper.Answers(i.agent.clock.Now())
 	}
 	if state, _, _ := i.keeper.State(); state == keeper.Leaving || st.Leaving {
 		return // its last answers are no return
 	}
-	i.agent.roll(func(r roll) { r.Heard(now(), i.Name) })
+	i.agent.roll(func(r roll) { r.Heard(i.agent.clock.Now(), i.Name) })
 }
 
 // tell gives the instance the orders that it has not answered yet, oldest first.
@@ -247,7 +245,7 @@
 		switch {
 		case errors.As(err, &no) && no.Status < 500 && no.Status != 429:
 			// It answers and does not understand: a version of another control protocol, most likely.
-			ans = orders.Answer{Verdict: orders.Refused, Why: no.Why, At: now()}
+			ans = orders.Answer{Verdict: orders.Refused, Why: no.Why, At: i.agent.clock.Wall()}
 		case err != nil:
 			return
 		}
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -121,11 +121,35 @@
 		return 0, err
 	}
 	defer leader.Close()
+	// Guards against a word to a leader that is cut off: nothing comes of it, not even a refusal. Whoever said it hears that the
+	// outcome is not known as soon as another leads, and says it again.
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		for was := a.journal.Leader(); ctx.Err() == nil; {
+			select {
+			case <-ctx.Done():
+			case <-time.After(replaced):
+				if a.journal.Leader() != was {
+					cancel(errReplaced)
+				}
+			}
+		}
+	}()
 	var s said
 	err = leader.call(ctx, http.MethodPost, "commands?passed=1", c, &s)
+	if errors.Is(context.Cause(ctx), errReplaced) && err != nil {
+		err = errReplaced
+	}
 	return s.Number, err
 }
 
+// errReplaced is the answer where the leader fell silent and is no longer one.
+var errReplaced = errors.New("it is not known whether it was agreed on: the leader that it was passed on to leads no more")
+
+// replaced is how often it is looked whether the leader is another: well below the time that finding one takes.
+const replaced = 50 * time.Millisecond
+
 // leader is the other agent that leads.
 func (a *Agent) leader() (*Client, error) {
 	name := a.journal.Leader()
--- a/cmd/hatchagent/main.go
+++ b/cmd/hatchagent/main.go
@@ -26,7 +26,7 @@
 }
 
 func command() *cobra.Command {
-	var level string
+	var level, testClock string
 	root := &cobra.Command{
 		Use: "hatchagent", Short: "Keeps instances of hatchproxy running and brings each to what was ordered",
 		SilenceUsage: true, SilenceErrors: true,
@@ -48,7 +48,11 @@
 			if err := lowest.UnmarshalText([]byte(level)); err != nil {
 				return fmt.Errorf("--log-level: %w", err)
 			}
-			err = agent.Run(c.Context(), plan, slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: lowest})))
+			clock, err := agent.FaultyClock(testClock)
+			if err != nil {
+				return err
+			}
+			err = agent.Run(c.Context(), plan, clock, slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: lowest})))
 			if errors.Is(err, context.Canceled) {
 				return nil
 			}
@@ -56,6 +60,7 @@
 		},
 	}
 	serve.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	serve.Flags().StringVar(&testClock, "test-clock", "", "FOR TESTS ONLY: a clock that is wrong, such as rate=1.05,off=-1h,jump=1h@2s")
 	check := &cobra.Command{
 		Use: "check FILE", Short: "Read the agent's file and say what is wrong with it", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -31,7 +31,7 @@
 		os.Exit(m.Run())
 	}
 	signal.Ignore(syscall.SIGXFSZ) // as the program does
-	plan, err := agent.ReadPlan(os.Args[1])
+	plan, err := agent.ReadPlan(os.Args[len(os.Args)-1])
 	switch {
 	case err != nil:
 	case role == "liar":
@@ -52,7 +52,14 @@
 }
 
 func run(p *agent.Plan) error {
-	return agent.Run(context.Background(), p, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
+	clock := agent.Sound()
+	if len(os.Args) > 2 {
+		var err error
+		if clock, err = agent.FaultyClock(os.Args[2]); err != nil {
+			return err
+		}
+	}
+	return agent.Run(context.Background(), p, clock, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
 }
 
 // trust has an agent that has a log ask nobody what the others hold.
@@ -111,14 +118,18 @@
 }
 
 func raise(t *testing.T, role string, agents, hear, sites int) *chaos.Machines {
+	return raiseAs(t, role, chaos.Layout{Agents: agents, Hear: hear, Sites: sites, Seed: 1})
+}
+
+func raiseAs(t *testing.T, role string, l chaos.Layout) *chaos.Machines {
 	own, err := os.Executable()
 	require.NoError(t, err)
 	folder := t.TempDir()
-	m, err := chaos.Raise([]string{"/usr/bin/env", "HATCH_ROLE=" + role, own}, folder, chaos.Layout{Agents: agents, Hear: hear, Sites: sites, Seed: 1})
+	m, err := chaos.Raise([]string{"/usr/bin/env", "HATCH_ROLE=" + role, own}, folder, l)
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		m.Close()
-		for a := range agents {
+		for a := range l.Agents {
 			if text, _ := os.ReadFile(filepath.Join(folder, fmt.Sprintf("a%d.log", a))); t.Failed() {
 				t.Logf("a%d: %s", a, text)
 			}
@@ -320,3 +331,47 @@
 	require.Eventually(t, func() bool { return m.Start(0) == nil && m.Fallen() > 1 }, 10*time.Second, time.Millisecond)
 	require.True(t, kinds(chaos.Judge(rec.End(t.Context()), bound))["fell"])
 }
+
+func TestClocksThatAreWrongChangeNothing(t *testing.T) {
+	m := raiseAs(t, "agent", chaos.Layout{Agents: 3, Sites: 3, Seed: 4, Clocks: true})
+	r, err := m.Play(t.Context(), []chaos.Fault{{Kind: chaos.Cut, For: 1500 * time.Millisecond}})
+	require.NoError(t, err)
+	require.Empty(t, chaos.Judge(r, bound))
+	for _, wrong := range []string{"rate=9", "rate=", "jump=1h", "off=5", "moon=full"} {
+		_, err := agent.FaultyClock(wrong)
+		require.ErrorContains(t, err, wrong)
+	}
+}
+
+// A command was said to an agent whose leader had just been cut off: nothing came back for 6 s.
+func TestACommandPassedOnToALeaderThatIsCutOffIsAnsweredSoon(t *testing.T) {
+	m := raise(t, "agent", 3, 0, 3)
+	for a := range 3 {
+		require.NoError(t, m.Start(a))
+	}
+	require.NoError(t, m.Rise(t.Context()))
+	leader := -1
+	for a := range 3 {
+		require.NoError(t, m.Ask(t.Context(), a, func(ctx context.Context, c *agent.Client) error {
+			v, err := c.View(ctx)
+			if v.Leads {
+				leader = a
+			}
+			return err
+		}))
+	}
+	require.GreaterOrEqual(t, leader, 0)
+	rec := m.Record(t.Context())
+	go func() { _ = rec.Suffer(t.Context(), chaos.Fault{Kind: chaos.Cut, For: 4 * time.Second, On: leader}) }()
+	began := time.Now()
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		_, err := rec.Say(t.Context(), (leader+1)%3, wanted.Command{ID: fmt.Sprint("c", n), Verb: wanted.Drain, Server: "s"}, 10*time.Second)
+		return err == nil && time.Since(began) > time.Second
+	}, 20*time.Second, 10*time.Millisecond)
+	r := rec.End(t.Context())
+	for _, s := range r.Said {
+		require.Less(t, s.At-s.Began, 2500*time.Millisecond, "%v: chosen anew within 0.6 s, three times at most", s)
+	}
+}
--- a/lab/chaos/file.go
+++ b/lab/chaos/file.go
@@ -18,6 +18,7 @@
 	Sites   int      // machine m stands in site m modulo this
 	Faults  int      // a run
 	Kinds   []string // all if missing
+	Clocks  bool     // the agents' clocks are wrong
 	Settles float64  // seconds after the last fault
 }
 
--- a/lab/chaos/machines.go
+++ b/lab/chaos/machines.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io/fs"
 	"math"
+	"math/rand"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -34,6 +35,7 @@
 	Sites     int                          //
 	Seed      int64                        // of what the links draw
 	Instances func(a int) []agent.Instance // those that a machine's agent keeps; nil for none
+	Clocks    bool                         // the agents' clocks are wrong, each in its way, by the seed
 	// Struck hears what is done to the instances of a machine: before they are killed or stopped, and after they went on.
 	Struck func(a int, what Strike)
 	// Severed hears that a machine's ways to the servers of a zone are cut, and that they are back.
@@ -165,7 +167,11 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(m.command[0], append(m.command[1:len(m.command):len(m.command)], m.plan(a))...)
+	args := slices.Clone(m.command[1:])
+	if m.Clocks {
+		args = append(args, "--test-clock", m.clock(a))
+	}
+	cmd := exec.Command(m.command[0], append(args, m.plan(a))...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -185,6 +191,13 @@
 	return nil
 }
 
+// clock is what is wrong with a machine's: it is up to an hour off, runs up to 5% fast or slow, and jumps by up to an hour either way
+// within some seconds of each start.
+func (m *Machines) clock(a int) string {
+	rng := rand.New(rand.NewSource(m.Seed*1_000_003 + int64(a)))
+	return fmt.Sprintf("rate=%.4f,off=%ds,jump=%ds@%dms", 0.95+0.1*rng.Float64(), rng.Intn(7200)-3600, rng.Intn(7200)-3600, 500+rng.Intn(5000))
+}
+
 // Fallen is how many times an agent has ended by itself.
 func (m *Machines) Fallen() int {
 	m.mu.Lock()
--- a/lab/experiment/agents.go
+++ b/lab/experiment/agents.go
@@ -82,7 +82,7 @@
 	}
 	var err error
 	a.Machines, err = chaos.Raise([]string{r.Agent, "serve", "--log-level", "info"}, r.Folder, chaos.Layout{Agents: c.Agents, Hear: c.Agents - c.voters(), Sites: c.sites(),
-		Seed: int64(r.Seed), Instances: func(m int) []agent.Instance { return keeps[m] }, Struck: struck, Severed: severed})
+		Seed: int64(r.Seed), Clocks: c.Clocks, Instances: func(m int) []agent.Instance { return keeps[m] }, Struck: struck, Severed: severed})
 	if err != nil {
 		return err
 	}
--- a/lab/experiment/machines_test.go
+++ b/lab/experiment/machines_test.go
@@ -69,7 +69,7 @@
 }
 
 func TestInstancesSleepLoseTheirAgentAndTheirServersAndTheRulesHold(t *testing.T) {
-	r := fleet(t, "8s", "agents = 2\nvoters = 1\nsites = 2\n", `kind = "fault-sleep"; at = "500ms"; for = "1500ms"; servers = [0]`, `kind = "order-drain"; at = "700ms"; for = "5s"; servers = [1]`,
+	r := fleet(t, "8s", "agents = 2\nvoters = 1\nsites = 2\nclocks = true\n", `kind = "fault-sleep"; at = "500ms"; for = "1500ms"; servers = [0]`, `kind = "order-drain"; at = "700ms"; for = "5s"; servers = [1]`,
 		`kind = "fault-agent-dead"; at = "3s"; for = "500ms"; servers = [1]`, `kind = "fault-no-servers"; at = "4s"; for = "2s"; servers = [0]`)
 	require.Zero(t, r.Figures["orders-unheard"])
 }
