Duties that one agent holds at a time: leases with tokens, a conductor of rolling restarts

lease/: who holds a duty stands in the log (a grant is an entry, its number the token); how long it may be acted on is promised from the leading agent's memory, after a round with most agents, and counted by the holder from before it asked. Effects carry the token, and the log refuses lower ones. The first duty is the conductor: a rolling restart is a command, and its steps are taken from the log by whoever holds the duty. Judge 'two holders': convicts an agent whose clock runs half as fast, and nobody else in the test.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"hatchproxy/agent/wanted"
 	"hatchproxy/internal/control"
 	"hatchproxy/internal/tomlfile"
+	"hatchproxy/lease"
 	"hatchproxy/logic"
 )
 
@@ -31,6 +32,7 @@
 	From     string     // the address that it calls other agents from; any if missing
 	Beat     string     // how long a leader may be silent until another is chosen, such as "1s"; the same for all agents
 	Hears    bool       // it has no vote at first: it hears what is agreed on
+	Duties   []string   // that it stands for: "conductor"
 	Data     string     // the folder of its log, and of the instances' logs
 	Peer     []Peer     // the other agents
 	Instance []Instance // those that it keeps
@@ -96,6 +98,11 @@
 	if from, err := netip.ParseAddr(p.From); p.From != "" && (err != nil || !from.IsLoopback()) {
 		faults = append(faults, fmt.Errorf("from: %q is no loopback address", p.From))
 	}
+	for _, duty := range p.Duties {
+		if duty != Conductor {
+			faults = append(faults, fmt.Errorf("duties: %.40q is none of %s", duty, Conductor))
+		}
+	}
 	if _, err := p.beat(); err != nil {
 		faults = append(faults, err)
 	}
@@ -123,6 +130,7 @@
 	log       *slog.Logger
 	journal   *Journal
 	instances []*instance
+	duties    *duties
 	settled   bool // the log is at hand: until then nothing is started, or an instance would miss what stands
 
 	rollMu sync.Mutex
@@ -152,6 +160,7 @@
 		return err
 	}
 	a := &Agent{config: p, clock: clock, log: log, journal: journal, there: members.New(suspect, lose, settle)}
+	a.duties = &duties{a: a}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, c := range p.Instance {
@@ -177,16 +186,28 @@
 		keeping.Go(func() { a.hear(ctx, peer) })
 	}
 	keeping.Go(func() { a.count(ctx) })
+	keeping.Go(func() { a.duties.give(ctx) })
+	if len(p.Duties) > 0 {
+		keeping.Go(func() { a.duties.stand(ctx) })
+		keeping.Go(func() { a.conduct(ctx) })
+	}
 	err = nil
 	select {
 	case <-ctx.Done():
-		err = <-founded
 	case err = <-founded:
+		founded <- nil
 		if err == nil {
-			<-ctx.Done()
+			select {
+			case <-ctx.Done():
+			case <-journal.store.apart:
+				err = errApart
+			}
 		}
+	case <-journal.store.apart:
+		err = errApart
 	}
 	cancel()
+	err = errors.Join(err, <-founded)
 	keeping.Wait()
 	return errors.Join(err, surface(), journal.Close())
 }
@@ -287,6 +308,10 @@
 	Past      []wanted.Entry   `json:"past"`
 	Orders    []wanted.Entry   `json:"orders"`
 	Instances []InstanceView   `json:"instances"`
+	Duties    []DutyView       `json:"duties,omitempty"`
+	Holds     lease.Promises   `json:"holds,omitempty"`  // what this agent may act on at this moment, with the tokens
+	Barred    []string         `json:"barred,omitempty"` // who is given no duty
+	Rolls     []wanted.Rolling `json:"rolls,omitempty"`
 	Silent    []string         `json:"silent"` // agents that did not answer, with what they keep
 }
 
@@ -323,6 +348,10 @@
 	a.journal.View(func(s *wanted.State) {
 		v.Applied = s.Applied
 		v.Past = append(v.Past, s.Past...)
+		v.Rolls = append(v.Rolls, s.Rolls...)
+		for name := range s.Barred {
+			v.Barred = append(v.Barred, name)
+		}
 		for _, e := range s.Orders {
 			v.Orders = append(v.Orders, e)
 		}
@@ -330,6 +359,8 @@
 			wishes[i.Name], runs[i.Name] = s.Runs(i.Name)
 		}
 	})
+	slices.Sort(v.Barred)
+	v.Duties, v.Holds = a.duties.view()
 	for _, i := range a.instances {
 		x := i.view(wishes[i.Name], runs[i.Name])
 		x.Member = states[i.Name]
--- a/agent/clock.go
+++ b/agent/clock.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hatchproxy/logic"
 )
 
@@ -13,6 +15,7 @@
 // Wall is for what is told to others as a time of day. The zero value is not ready for use.
 type Clock struct {
 	began time.Time
+	boot  time.Duration // what the machine's clock that goes on while it sleeps showed then
 	rate  float64       // how fast it runs beside the machine's; 1 but in tests
 	off   time.Duration // how far the time of day is off at the start; 0 but in tests
 	jump  time.Duration // by how much it jumps, after a while; 0 but in tests
@@ -20,7 +23,7 @@
 }
 
 // Sound is the machine's clock.
-func Sound() *Clock { return &Clock{began: time.Now(), rate: 1} }
+func Sound() *Clock { return &Clock{began: time.Now(), boot: sinceBoot(), rate: 1} }
 
 // FaultyClock makes one for tests, as "rate=1.05,off=-1h,jump=1h@2s" says: it runs that many times as fast, is off by so much at
 // the start, and jumps by so much after a while. What is not named is sound.
@@ -56,7 +59,16 @@
 }
 
 // ran is how long it has run by its own count.
-func (c *Clock) ran() time.Duration { return time.Duration(float64(time.Since(c.began)) * c.rate) }
+func (c *Clock) ran() time.Duration { return time.Duration(float64(sinceBoot()-c.boot) * c.rate) }
+
+// sinceBoot goes on while the machine sleeps, which Go's own does not: a lease runs out meanwhile.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // there since Linux 2.6.39; without it no lease is safe
+	}
+	return time.Duration(t.Nano())
+}
 
 // Now is a time that only grows, in microseconds; it is near Unix time and no time of day.
 func (c *Clock) Now() logic.Micros {
@@ -69,7 +81,7 @@
 		return logic.Micros(time.Now().UnixMicro())
 	}
 	at := c.began.Add(c.ran() + c.off)
-	if c.jump != 0 && time.Since(c.began) >= c.after {
+	if c.jump != 0 && sinceBoot()-c.boot >= c.after {
 		at = at.Add(c.jump)
 	}
 	return logic.Micros(at.UnixMicro())
--- a/agent/founding.go
+++ b/agent/founding.go
@@ -99,18 +99,24 @@
 		}
 	}
 	others := a.config.voters()
-	var newest holds
-	began := time.Now()
-	for answered := map[string]bool{}; ; {
+	answered := map[string]holds{} // what each told last
+	look := func() (newest holds) {
 		for _, p := range others {
 			if h, err := a.askLog(ctx, p); err == nil {
-				answered[p.Name] = true
-				newest.Term = max(newest.Term, h.Term)
-				if newest.older(h) {
-					newest.Entry, newest.Last = h.Entry, h.Last
-				}
+				answered[p.Name] = h
+			}
+			h := answered[p.Name]
+			newest.Term = max(newest.Term, h.Term)
+			if newest.older(h) {
+				newest.Entry, newest.Last = h.Entry, h.Last
 			}
 		}
+		return newest
+	}
+	var newest holds
+	began := time.Now()
+	for {
+		newest = look()
 		most := 2*(len(answered)+1) > len(others)+1
 		if len(answered) == len(others) || most && time.Since(began) > enough {
 			break
@@ -121,11 +127,18 @@
 	}
 	if a.journal.holds().older(newest) {
 		a.log.Warn("the others hold more; this agent votes only for who holds as much until it does", "last", newest.Last, "last here", a.journal.holds().Last)
-		a.journal.voice.hold(&newest)
+		first := newest
+		a.journal.voice.hold(&first)
 		for began = time.Now(); a.journal.holds().older(newest) && time.Since(began) < abstaining; {
 			if !rest() {
 				return
 			}
+			// Guards against waiting for what nobody holds any more: one that told the newest and now tells less has lost its disk, and
+			// with it the only loss that is promised to be borne. This agent's own disk is then sound, and merely was away.
+			now := look()
+			now.Term = newest.Term // it may have voted in any term up to that one
+			newest = now
+			a.journal.voice.hold(&now)
 		}
 	}
 	a.journal.voice.hold(nil)
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -25,7 +25,7 @@
 // Journal is the replicated log of commands and the state that it leads to. It owns its files and its port.
 type Journal struct {
 	raft    *raft.Raft
-	store   *boltdb.BoltStore
+	store   *shelf
 	voice   *voice
 	had     bool              // there was a log when it was opened
 	reached map[string]string // where the agents' logs reach each other, this one among them
@@ -99,10 +99,11 @@
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
 	}
-	store, err := boltdb.New(boltdb.Options{Path: at, BoltOptions: &bbolt.Options{Timeout: 2 * time.Second}})
+	bolt, err := boltdb.New(boltdb.Options{Path: at, BoltOptions: &bbolt.Options{Timeout: 2 * time.Second}})
 	if err != nil {
 		return nil, fmt.Errorf("%s cannot be opened; nothing was changed (is another agent running there?): %w", at, err)
 	}
+	store := &shelf{BoltStore: bolt, apart: make(chan struct{})}
 	shut := func(err error) (*Journal, error) { return nil, errors.Join(err, store.Close()) }
 	snapshots, err := raft.NewFileSnapshotStore(folder, keptSnapshots, io.Discard)
 	if err != nil {
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -17,6 +17,7 @@
 
 	"hatchproxy/agent/wanted"
 	"hatchproxy/internal/control"
+	"hatchproxy/lease"
 )
 
 // Version is the protocol's between tool and agents, and between agents.
@@ -59,6 +60,19 @@
 		answer(w, http.StatusOK, c)
 	})
 	mux.HandleFunc("POST "+v+"/commands", a.command)
+	mux.HandleFunc("POST "+v+"/duties", func(w http.ResponseWriter, r *http.Request) {
+		var q lease.Question
+		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody)).Decode(&q)
+		var p lease.Promises
+		if err == nil {
+			p, err = a.duties.answer(q)
+		}
+		if err != nil {
+			answer(w, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
+			return
+		}
+		answer(w, http.StatusOK, p)
+	})
 	mux.HandleFunc("POST "+v+"/reload", a.reload)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		answer(w, http.StatusNotFound, map[string]string{"error": fmt.Sprintf("%s %.100s is nothing here: agents speak protocol %d", r.Method, r.URL.Path, Version)})
--- a/agent/wanted/wanted.go
+++ b/agent/wanted/wanted.go
@@ -9,6 +9,7 @@
 	"hash/crc32"
 	"slices"
 
+	"hatchproxy/lease"
 	"hatchproxy/logic"
 	"hatchproxy/orders"
 )
@@ -33,6 +34,14 @@
 	Until     logic.Micros `json:"until,omitempty"`
 	Launch    logic.Micros `json:"launch,omitempty"`
 	Said      logic.Micros `json:"said"` // Unix time
+
+	Duty   string  `json:"duty,omitempty"`  // whose effect it is, with the holder's token; or which it is about
+	Token  uint64  `json:"token,omitempty"` //
+	Holder string  `json:"holder,omitempty"`
+	Of     string  `json:"of,omitempty"` // a rolling restart's id
+	Step   int     `json:"step,omitempty"`
+	Share  float64 `json:"share,omitempty"`
+	Why    string  `json:"why,omitempty"`
 }
 
 // Entry is a command with its place in the log.
@@ -53,7 +62,11 @@
 	Applied uint64           `json:"applied"` // the number of the last command
 	Orders  map[string]Entry `json:"orders"`  // the newest on each server
 	Wishes  map[string]Wish  `json:"wishes"`
-	Past    []Entry          `json:"past"` // the last ones, oldest first
+	Past    []Entry          `json:"past"` // the last ones, oldest first; grants are not among them
+
+	Duties map[string]lease.Grant `json:"duties,omitempty"`
+	Barred map[string]bool        `json:"barred,omitempty"` // who is given no duty
+	Rolls  []Rolling              `json:"rolls,omitempty"`  // the last ones, oldest first
 }
 
 const (
@@ -76,20 +89,28 @@
 			return fmt.Errorf("%s takes a server, and no instances", c.Verb)
 		}
 	case c.Verb == Start || c.Verb == Stop || c.Verb == Restart:
-		if len(c.Instances) == 0 || len(c.Instances) > mostNamed || c.Server != "" {
-			return fmt.Errorf("%s takes instances, %d at most, and no server", c.Verb, mostNamed)
-		}
-		for _, name := range c.Instances {
-			if name == "" || len(name) > longestName {
-				return fmt.Errorf("%.40q is no instance's name", name)
-			}
-		}
+		return checkInstances(c)
 	default:
+		if known, err := checkDuty(c); known {
+			return err
+		}
 		return fmt.Errorf("the verb %.40q is unknown", c.Verb)
 	}
 	return nil
 }
 
+func checkInstances(c Command) error {
+	if len(c.Instances) == 0 || len(c.Instances) > mostNamed || c.Server != "" {
+		return fmt.Errorf("%s takes instances, %d at most, and no server", c.Verb, mostNamed)
+	}
+	for _, name := range c.Instances {
+		if name == "" || len(name) > longestName {
+			return fmt.Errorf("%.40q is no instance's name", name)
+		}
+	}
+	return nil
+}
+
 // Apply takes the command at a place of the log, and returns the number by which it is known: an earlier one where
 // its id has been heard before. A command that is wrong changes nothing.
 func (s *State) Apply(number uint64, c Command) (uint64, error) {
@@ -106,6 +127,9 @@
 	if s.Orders == nil {
 		s.Orders, s.Wishes = map[string]Entry{}, map[string]Wish{}
 	}
+	if err := s.fenced(c); err != nil {
+		return 0, err
+	}
 	e := Entry{number, c}
 	switch c.Verb {
 	case Drain, Undrain:
@@ -113,14 +137,14 @@
 			return 0, fmt.Errorf("%d servers have orders already", mostOrders)
 		}
 		s.Orders[c.Server] = e
+	case Start, Stop, Restart:
+		s.wish(number, c.Verb, c.Instances)
 	default:
-		for _, name := range c.Instances {
-			w := s.Wishes[name]
-			w.Run, w.Number = c.Verb != Stop, number
-			if c.Verb == Restart {
-				w.Restart = number
-			}
-			s.Wishes[name] = w
+		if err := s.duty(number, c); err != nil {
+			return 0, err
+		}
+		if c.Verb == Grant {
+			return number, nil
 		}
 	}
 	s.Past = append(s.Past, e)
@@ -130,6 +154,17 @@
 	return number, nil
 }
 
+func (s *State) wish(number uint64, verb Verb, instances []string) {
+	for _, name := range instances {
+		w := s.Wishes[name]
+		w.Run, w.Number = verb != Stop, number
+		if verb == Restart {
+			w.Restart = number
+		}
+		s.Wishes[name] = w
+	}
+}
+
 // forget takes the oldest undrain away; instances that never heard of the server need none.
 func (s *State) forget() bool {
 	oldest := ""
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -375,3 +375,40 @@
 		require.Less(t, s.At-s.Began, 2500*time.Millisecond, "%v: chosen anew within 0.6 s, three times at most", s)
 	}
 }
+
+// A duty's holder stalls, is cut off and is killed, and so is the agent that gives the duty: nobody can act on it after another can.
+func TestADutyHasOneHolderAtATime(t *testing.T) {
+	ms := time.Millisecond
+	faults := []chaos.Fault{{Kind: chaos.Doze, At: 1500 * ms, For: 3500 * ms, On: chaos.OfHolder}, {Kind: chaos.Cut, At: 5500 * ms, For: 3500 * ms, On: chaos.OfHolder},
+		{Kind: chaos.Crash, At: 9500 * ms, For: 3500 * ms, On: chaos.OfHolder}, {Kind: chaos.Crash, At: 10500 * ms, For: 500 * ms, On: chaos.OfLeader}}
+	play := func(t *testing.T, l chaos.Layout, faults []chaos.Fault) (chaos.Record, map[string]bool) {
+		t.Parallel()
+		l.Agents, l.Sites, l.Duties = 3, 3, []string{agent.Conductor}
+		m := raiseAs(t, "agent", l)
+		r, err := m.Play(t.Context(), faults)
+		require.NoError(t, err)
+		return r, kinds(chaos.Judge(r, bound))
+	}
+	t.Run("sound", func(t *testing.T) {
+		r, found := play(t, chaos.Layout{Seed: 2, Clocks: true}, faults)
+		require.Empty(t, found)
+		holders := map[int]bool{}
+		for _, s := range r.Seen {
+			if s.Holds[agent.Conductor] > 0 {
+				holders[s.Agent] = true
+			}
+		}
+		require.Greater(t, len(holders), 1, "it was handed on: %s", r.Tell())
+		gaps := r.Unheld(agent.Conductor)
+		require.NotEmpty(t, gaps)
+		t.Log(gaps)
+		require.Less(t, gaps[len(gaps)-1], chaos.UnheldBound)
+	})
+	t.Run("clocks beyond what is promised", func(t *testing.T) {
+		// Only one is slow: a giver as slow would wait for it.
+		slow := func(a int) string { return []string{"rate=0.5", "", ""}[a] }
+		_, found := play(t, chaos.Layout{Seed: 2, Clock: slow}, []chaos.Fault{{Kind: chaos.Crash, At: 1000 * ms, For: 4500 * ms, On: 1}, {Kind: chaos.Crash, At: 6000 * ms, For: 4500 * ms, On: 2},
+			{Kind: chaos.Cut, At: 12000 * ms, For: 6000 * ms, On: 0}})
+		require.True(t, found["two holders"], "%v", found)
+	})
+}
--- a/lab/chaos/file.go
+++ b/lab/chaos/file.go
@@ -21,6 +21,7 @@
 	Between float64  // seconds that a way between two sites takes
 	Beat    float64  // seconds that a leader may be silent; 0 for the agents' own
 	Clocks  bool     // the agents' clocks are wrong
+	Duties  []string // that all agents stand for
 	Settles float64  // seconds after the last fault
 }
 
@@ -72,7 +73,7 @@
 // Layout is what stands where, in a run with a seed.
 func (f *File) Layout(seed int64) Layout {
 	seconds := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
-	return Layout{Agents: f.Agents, Sites: f.Sites, Seed: seed, Between: seconds(f.Between), Beat: seconds(f.Beat), Clocks: f.Clocks}
+	return Layout{Agents: f.Agents, Sites: f.Sites, Seed: seed, Between: seconds(f.Between), Beat: seconds(f.Beat), Clocks: f.Clocks, Duties: f.Duties}
 }
 
 // Bound is how long agents may take to settle.
@@ -100,14 +101,17 @@
 	}
 	before := map[int]Seen{}
 	for _, s := range r.Seen {
-		if b := before[s.Agent]; b.Term != s.Term || b.Leads != s.Leads || s.Applied < b.Applied {
-			add(s.At, "seen    a%d: term %d, leads %t, applied %d", s.Agent, s.Term, s.Leads, s.Applied)
+		if b := before[s.Agent]; b.Term != s.Term || b.Leads != s.Leads || s.Applied < b.Applied || !maps.Equal(b.Holds, s.Holds) {
+			add(s.At, "seen    a%d: term %d, leads %t, applied %d, holds %v", s.Agent, s.Term, s.Leads, s.Applied, s.Holds)
 		}
 		before[s.Agent] = s
 	}
 	for _, f := range r.Fell {
 		add(f.At, "fell    a%d", f.Agent)
 	}
+	for _, s := range before { // what each knew last
+		add(s.At, "last    a%d: term %d, leads %t, applied %d", s.Agent, s.Term, s.Leads, s.Applied)
+	}
 	went := map[string]Held{}
 	for _, h := range r.Held {
 		if b, known := went[h.Instance]; !known || b.Process != h.Process || b.Term != h.Term || !maps.Equal(b.Orders, h.Orders) {
--- a/lab/chaos/judge.go
+++ b/lab/chaos/judge.go
@@ -43,10 +43,12 @@
 // Seen is what an agent told of itself.
 type Seen struct {
 	Agent   int
-	At      time.Duration
+	At      time.Duration // when it was asked
+	Done    time.Duration // when its answer came
 	Leads   bool
 	Term    uint64
 	Applied uint64
+	Holds   map[string]uint64 // the duties that it may act on, with the tokens
 	Past    map[uint64]string // the commands that it knows, by number: the last few hundred
 
 	first uint64 // the least of these numbers
@@ -84,6 +86,7 @@
 //   - out of order: the answers fit no order of the commands that keeps to when each was said and answered;
 //   - stale: an instance went back to an older order, or an older author, or goes by an order that was never agreed on;
 //   - forgot: an instance that was started anew on a machine that kept its disk went back to an older order;
+//   - two holders: an agent could act on a duty after another could by a higher token;
 //   - fell: an agent ended by itself while its disk had room.
 func Judge(r Record, bound time.Duration) []Breach {
 	var found []Breach
@@ -134,6 +137,7 @@
 	}
 	found = append(found, outOfOrder(r.Said, numbers)...)
 	found = append(found, judgeHeld(r, ids)...)
+	found = append(found, judgeHolders(seen)...)
 	if r.Instances && r.Settled > 0 && (r.Told == 0 || r.Told > bound+TellingBound) {
 		add("not settled", r.Ended, "instances went by the last order %v after the last fault (0: never); the bound is %v", r.Told.Round(time.Millisecond), bound+TellingBound)
 	}
@@ -182,6 +186,55 @@
 	return found
 }
 
+// judgeHolders judges who could act on duties; what agents told is in the order of time.
+func judgeHolders(seen []Seen) (found []Breach) {
+	type acted struct {
+		token uint64
+		by    int
+		at    time.Duration // when that was known at the latest
+	}
+	highest := map[string][]acted{} // by duty, rising tokens
+	told := map[string]bool{}
+	for _, s := range seen {
+		for _, duty := range slices.Sorted(maps.Keys(s.Holds)) {
+			token := s.Holds[duty]
+			for _, other := range highest[duty] {
+				if key := fmt.Sprint(duty, token, other.token); other.token > token && other.at < s.At && !told[key] {
+					told[key] = true
+					found = append(found, Breach{"two holders", s.At, fmt.Sprintf("a%d can act on %s by token %d, and a%d could by token %d at %v", s.Agent, duty, token, other.by, other.token, other.at)})
+				}
+				if other.token == token && other.by != s.Agent && !told[fmt.Sprint(duty, token)] {
+					told[fmt.Sprint(duty, token)] = true
+					found = append(found, Breach{"two holders", s.At, fmt.Sprintf("a%d and a%d can act on %s by the same token %d", other.by, s.Agent, duty, token)})
+				}
+			}
+			if !slices.ContainsFunc(highest[duty], func(a acted) bool { return a.token == token }) {
+				highest[duty] = append(highest[duty], acted{token, s.Agent, s.Done})
+			}
+		}
+	}
+	return found
+}
+
+// Unheld is how long nobody could act on a duty, each time: from when an agent that could was seen last until one was seen again, in
+// the order of length. Looks come each 40 ms, so that it is told up to twice as much too long.
+func (r Record) Unheld(duty string) (gaps []time.Duration) {
+	last := time.Duration(-1)
+	seen := slices.Clone(r.Seen)
+	slices.SortStableFunc(seen, func(a, b Seen) int { return cmp.Compare(a.At, b.At) })
+	for _, s := range seen {
+		if s.Holds[duty] == 0 {
+			continue
+		}
+		if last >= 0 && s.At-last > 4*seeing {
+			gaps = append(gaps, s.At-last)
+		}
+		last = s.At
+	}
+	slices.Sort(gaps)
+	return gaps
+}
+
 // outOfOrder tells what answers fit no log that is one: each command takes a place after all that were answered before it was
 // said, and is answered with that place however often it is said. As the places are told, one pass in their order decides it:
 // the earliest moment at which a command can have taken its place is when it was said first, or the moment of the one before it
@@ -231,4 +284,7 @@
 const (
 	Bound        = 17 * time.Second
 	TellingBound = 3 * time.Second
+	// UnheldBound is how long nobody may be able to act on a duty after its holder and the agent that gives it are lost in one instant,
+	// while most agents run and reach each other; docs/duties.md derives it.
+	UnheldBound = 6 * time.Second
 )
--- a/lab/chaos/machines.go
+++ b/lab/chaos/machines.go
@@ -37,7 +37,9 @@
 	Instances func(a int) []agent.Instance // those that a machine's agent keeps; nil for none
 	Between   time.Duration                // a way between two sites
 	Beat      time.Duration                // how long a leader may be silent; 0 for the agents' own
+	Duties    []string                     // that all agents stand for
 	Clocks    bool                         // the agents' clocks are wrong, each in its way, by the seed
+	Clock     func(a int) string           // what is wrong with each of them instead
 	// Struck hears what is done to the instances of a machine: before they are killed or stopped, and after they went on.
 	Struck func(a int, what Strike)
 	// Severed hears that a machine's ways to the servers of a zone are cut, and that they are back.
@@ -131,6 +133,9 @@
 	for a := range agents {
 		var text strings.Builder
 		fmt.Fprintf(&text, "name = %q\nlisten = %q\nlog = %q\nreached = %q\nfrom = %q\ndata = %q\nhears = %t\n", m.names[a], m.listen[a], logs[a], logsAt[a], address(calls, a), m.data(a), a >= agents-hear)
+		if len(l.Duties) > 0 {
+			fmt.Fprintf(&text, "duties = [\"%s\"]\n", strings.Join(l.Duties, `", "`))
+		}
 		if l.Beat > 0 {
 			fmt.Fprintf(&text, "beat = %q\n", l.Beat)
 		}
@@ -174,8 +179,8 @@
 	}
 	defer log.Close()
 	args := slices.Clone(m.command[1:])
-	if m.Clocks {
-		args = append(args, "--test-clock", m.clock(a))
+	if clock := m.clock(a); clock != "" {
+		args = append(args, "--test-clock", clock)
 	}
 	cmd := exec.Command(m.command[0], append(args, m.plan(a))...)
 	cmd.Stdout, cmd.Stderr = log, log
@@ -200,6 +205,11 @@
 // clock is what is wrong with a machine's: it is up to an hour off, runs up to 5% fast or slow, and jumps by up to an hour either way
 // within some seconds of each start.
 func (m *Machines) clock(a int) string {
+	if m.Clock != nil {
+		return m.Clock(a)
+	} else if !m.Clocks {
+		return ""
+	}
 	rng := rand.New(rand.NewSource(m.Seed*1_000_003 + int64(a)))
 	return fmt.Sprintf("rate=%.4f,off=%ds,jump=%ds@%dms", 0.95+0.1*rng.Float64(), rng.Intn(7200)-3600, rng.Intn(7200)-3600, 500+rng.Intn(5000))
 }
@@ -229,6 +239,9 @@
 	}
 }
 
+// Doze stops a machine's agent alone; Wake has it go on.
+func (m *Machines) Doze(a int) { m.signal(a, syscall.SIGSTOP) }
+
 // Crash ends all that runs on a machine in one instant.
 func (m *Machines) Crash(a int) {
 	instances := m.stop(a)
--- a/lab/chaos/record.go
+++ b/lab/chaos/record.go
@@ -97,12 +97,27 @@
 // Suffer plays a fault now, from its begin to its end, and notes it.
 func (rec *Recorder) Suffer(ctx context.Context, f Fault) error {
 	f.At = time.Since(rec.begin)
+	if f.On < 0 {
+		f.On = rec.who(f.On)
+	}
 	rec.note(func(r *Record) { r.Faults = append(r.Faults, f) })
 	err := rec.m.suffer(ctx, f)
 	rec.note(func(r *Record) { r.Ended = time.Since(rec.begin) })
 	return err
 }
 
+// who is the agent that is meant by a number below 0, as it was seen last; the first if nobody is.
+func (rec *Recorder) who(on int) (a int) {
+	rec.note(func(r *Record) {
+		for _, s := range r.Seen {
+			if on == OfLeader && s.Leads || on == OfHolder && len(s.Holds) > 0 {
+				a = s.Agent
+			}
+		}
+	})
+	return a
+}
+
 // Settle waits until a new command is agreed on, and all agents and instances have it; it notes how long that took since the
 // last fault ended. The command undoes an order that never was, on a server.
 func (rec *Recorder) Settle(ctx context.Context, server string) {
@@ -197,12 +212,13 @@
 	s := Seen{Agent: a, At: time.Since(rec.begin), Past: map[uint64]string{}}
 	err := rec.m.ask(ctx, a, time.Second, func(ctx context.Context, c *agent.Client) error {
 		v, err := c.View(ctx)
-		s.Leads, s.Term, s.Applied = v.Leads, v.Term, v.Applied
+		s.Leads, s.Term, s.Applied, s.Holds = v.Leads, v.Term, v.Applied, v.Holds
 		for _, e := range v.Past {
 			s.Past[e.Number] = e.ID
 		}
 		return err
 	})
+	s.Done = time.Since(rec.begin)
 	return s, err
 }
 
--- a/lab/chaos/schedule.go
+++ b/lab/chaos/schedule.go
@@ -30,6 +30,7 @@
 	DiskLost Kind = "disk-lost" // a machine, and back with its disk empty
 	DiskOld  Kind = "disk-old"  // a machine, and back with its disk as it was at the fault's begin
 	DiskFull Kind = "disk-full" // nothing grows any more on the disk of a machine's agent; one that ends by that is started again after
+	Doze     Kind = "doze"      // a machine's agent stops and goes on, and not its instances
 	SiteDark Kind = "site-dark" // all machines of a site crash in one instant, and are back with their disks
 
 	// These need instances.
@@ -40,7 +41,7 @@
 
 // Kinds are those that agents without instances can suffer, in the order of their drawing; WithInstances are the others.
 var (
-	Kinds         = []Kind{Cut, OneWay, Deaf, Reset, Slow, Flap, Ring, SiteCut, Crash, CrashAll, Stall, DiskLost, DiskOld, DiskFull, SiteDark}
+	Kinds         = []Kind{Cut, OneWay, Deaf, Reset, Slow, Flap, Ring, SiteCut, Crash, CrashAll, Stall, DiskLost, DiskOld, DiskFull, SiteDark, Doze}
 	WithInstances = []Kind{KillAgent, Sleep, NoServers}
 )
 
@@ -51,9 +52,15 @@
 type Fault struct {
 	Kind    Kind
 	At, For time.Duration
-	On      int // machine, or site
+	On      int // machine, or site; or one of the numbers below
 }
 
+// OfLeader and OfHolder stand for the machine whose agent leads, or holds a duty, when the fault begins.
+const (
+	OfLeader = -1
+	OfHolder = -2
+)
+
 func (f Fault) String() string {
 	return fmt.Sprintf("%-9s on %d from %v for %v", f.Kind, f.On, f.At.Round(time.Millisecond), f.For.Round(time.Millisecond))
 }
@@ -222,6 +229,10 @@
 		m.Stall(f.On)
 		rest(f.For)
 		m.Wake(f.On)
+	case Doze:
+		m.Doze(f.On)
+		rest(f.For)
+		m.Wake(f.On)
 	case Sleep:
 		m.StallInstances(f.On)
 		rest(f.For)
--- a/lab/experiment/agents.go
+++ b/lab/experiment/agents.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -38,6 +39,7 @@
 	unheard int
 	left    int
 	failed  int
+	rolled  bool
 }
 
 // managedPID is the process that the instance's agent has written down; 0 if there is none.
@@ -82,7 +84,7 @@
 	}
 	var err error
 	a.Machines, err = chaos.Raise([]string{r.Agent, "serve", "--log-level", "info"}, r.Folder, chaos.Layout{Agents: c.Agents, Hear: c.Agents - c.voters(), Sites: c.sites(),
-		Seed: int64(r.Seed), Clocks: c.Clocks, Instances: func(m int) []agent.Instance { return keeps[m] }, Struck: struck, Severed: severed})
+		Seed: int64(r.Seed), Clocks: c.Clocks, Duties: c.Duties, Instances: func(m int) []agent.Instance { return keeps[m] }, Struck: struck, Severed: severed})
 	if err != nil {
 		return err
 	}
@@ -203,6 +205,8 @@
 		for _, n := range s.Servers {
 			r.busy.Go(func() { r.order(ctx, s, n, ends) })
 		}
+	case s.Kind == "roll" && !ends:
+		r.busy.Go(func() { r.conducted(ctx, s) })
 	case s.Kind == "rolling-restart" && !ends:
 		r.busy.Go(func() { r.roll(ctx, s) })
 	}
@@ -338,6 +342,42 @@
 	r.tell("all %d are ready again", len(names))
 }
 
+// conducted has all proxies started anew by whoever holds that duty, and watches.
+func (r *run) conducted(ctx context.Context, s fleet.Step) {
+	var names []string
+	for _, i := range r.proxies {
+		names = append(names, fmt.Sprintf("n%d", i.number))
+	}
+	id := fmt.Sprintf("roll-%d-%d", s.Order, r.Seed)
+	_, err := r.agents.say(ctx, wanted.Command{ID: id, Verb: wanted.Roll, Instances: names, Share: cmp.Or(s.Size, 0.2)})
+	began := time.Now()
+	for err == nil {
+		if time.Since(began) > s.For.Span() {
+			err = errors.New("it is not done in time")
+		}
+		time.Sleep(50 * time.Millisecond)
+		done := false
+		_ = r.agents.Ask(ctx, int(time.Since(began)/time.Second)%r.agents.Size(), func(ctx context.Context, c *agent.Client) error {
+			v, err := c.View(ctx)
+			for _, x := range v.Rolls {
+				done = done || x.ID == id && x.State == wanted.Done
+			}
+			return err
+		})
+		if done {
+			r.tell("all %d are ready again after %v", len(names), time.Since(began).Round(10*time.Millisecond))
+			break
+		}
+	}
+	r.agents.mu.Lock()
+	defer r.agents.mu.Unlock()
+	r.agents.rolled = true
+	if err != nil {
+		r.tell("roll: %v", err)
+		r.agents.failed++
+	}
+}
+
 func (r *run) awaitRestart(ctx context.Context, names []string, number uint64) error {
 	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(30 * time.Millisecond) {
 		if ctx.Err() != nil {
@@ -366,6 +406,13 @@
 		f["order-p"+q] = float64(a.order.At(x/100)) / 1000
 	}
 	f["orders-unheard"], f["drained-left"], f["restarts-failed"] = float64(a.unheard), float64(a.left), float64(a.failed)
+	if a.rolled {
+		f["not-once"] = float64(a.notOnce())
+		f["unheld-ms"] = 0
+		if gaps := a.record.Unheld(agent.Conductor); len(gaps) > 0 {
+			f["unheld-ms"] = float64(gaps[len(gaps)-1].Milliseconds())
+		}
+	}
 	f["agents-broken"], f["settled-s"], f["told-s"] = float64(a.broken), -1, -1
 	if a.record.Settled > 0 {
 		f["settled-s"] = a.record.Settled.Seconds()
@@ -374,3 +421,20 @@
 		f["told-s"] = a.record.Told.Seconds()
 	}
 }
+
+// notOnce is how many instances were not started anew exactly once.
+func (a *agents) notOnce() (wrong int) {
+	processes := map[string]map[int64]bool{}
+	for _, h := range a.record.Held {
+		if processes[h.Instance] == nil {
+			processes[h.Instance] = map[int64]bool{}
+		}
+		processes[h.Instance][h.Process] = true
+	}
+	for _, i := range a.instances {
+		if len(processes[fmt.Sprintf("n%d", i.number)]) != 2 {
+			wrong++
+		}
+	}
+	return wrong
+}
--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -115,10 +115,11 @@
 
 // Control is what keeps the proxies.
 type Control struct {
-	Agents int  // each on a machine of its own; 0: the proxies are started by the rig itself, without a control surface
-	Voters int  // of the agents; 0 for all
-	Clocks bool // the agents' clocks are wrong, each in its way
-	Sites  int  // machine m stands in site m modulo this, with the servers of zone m modulo this; 0 for one
+	Agents int      // each on a machine of its own; 0: the proxies are started by the rig itself, without a control surface
+	Voters int      // of the agents; 0 for all
+	Duties []string // that all agents stand for
+	Clocks bool     // the agents' clocks are wrong, each in its way
+	Sites  int      // machine m stands in site m modulo this, with the servers of zone m modulo this; 0 for one
 }
 
 func (c Control) voters() int { return cmp.Or(c.Voters, c.Agents) }
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -92,6 +92,8 @@
 	{"drained-left", "connections that stood at a server 8 s after the last instance heard that it drains, or at the order's end"},
 	{"agents-broken", "promises broken by what was agreed on and what instances go by (docs/faults.md)"},
 	{"settled-s", "seconds from the last fault's end until all agents have a new command; -1 for never"},
+	{"not-once", "instances that a roll has not started anew exactly once"},
+	{"unheld-ms", "ms for which nobody could conduct, at the longest, seen each 40 ms"},
 	{"told-s", "seconds from then until all instances go by it; -1 for never"},
 	{"restarts-failed", "rolling restarts that did not end well"},
 	{"crashes", "proxies that ended by themselves"},
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -54,6 +54,7 @@
 
 	"order-drain":     "the agents are told to have the servers drained, and to undo it when the time is over",
 	"rolling-restart": "all proxies are started anew by their agents, a share SIZE at a time",
+	"roll":            "the same, carried out by whoever holds that duty",
 
 	"fault-cut":        "machines are cut off from all others, silently; they reach their servers",
 	"fault-one-way":    "machines hear the others, and none hears them",
@@ -72,6 +73,7 @@
 	"fault-site-dark":  "all machines and servers of sites stop at once; the servers are back cold",
 	"fault-agent-dead": "machines' agents are killed and not their instances, and start again when the time is over",
 	"fault-sleep":      "machines' instances stop and not their agents, and go on",
+	"fault-doze":       "machines' agents stop and not their instances, and go on",
 	"fault-no-servers": "machines are cut off from all servers, and not from each other",
 }
 
@@ -80,12 +82,12 @@
 
 // OfAgents tells whether a kind is for who speaks with the agents.
 func OfAgents(kind string) bool {
-	return kind == "order-drain" || kind == "rolling-restart" || strings.HasPrefix(kind, "fault-")
+	return kind == "order-drain" || kind == "rolling-restart" || kind == "roll" || strings.HasPrefix(kind, "fault-")
 }
 
 // OfAll tells whether a kind is for all there are, and names none.
 func OfAll(kind string) bool {
-	return kind == "store" || kind == "rolling-restart" || kind == "fault-slow" || kind == "fault-ring" || kind == "fault-crash-all"
+	return kind == "store" || kind == "rolling-restart" || kind == "roll" || kind == "fault-slow" || kind == "fault-ring" || kind == "fault-crash-all"
 }
 
 // Draw draws the servers of a script, of as many as counts tells for its kind: the same seed gives the same steps, in the order of
