--- a/agent/duties.go
+++ b/agent/duties.go
@@ -65,14 +65,14 @@
 		held, barred := d.held()
 		d.giveMu.Lock()
 		var due map[string]lease.Grant
-		g := d.giver
+		g, term := d.giver, d.term
 		if g != nil {
 			due = g.Due(d.a.clock.Now(), held, barred)
 		}
 		d.giveMu.Unlock()
 		for _, duty := range slices.Sorted(maps.Keys(due)) {
 			x := due[duty]
-			number, err := d.a.journal.Say(wanted.Command{ID: fmt.Sprintf("grant-%s-%d", duty, x.Token), Verb: wanted.Grant, Duty: duty, Holder: x.Holder, Token: x.Token,
+			number, err := d.a.journal.Say(wanted.Command{ID: fmt.Sprintf("grant-%s-%d", duty, x.Token), Verb: wanted.Grant, Duty: duty, Holder: x.Holder, Token: x.Token, Term: term,
 				Said: d.a.clock.Wall(), Why: x.Why})
 			d.giveMu.Lock()
 			g.Over(duty)
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -247,9 +247,18 @@
 	if err := json.Unmarshal(l.Data, &c); err != nil {
 		return applied{0, err}
 	}
+	// Guards against a grant by what was seen before another led meanwhile, who may have promised on: it must stand in the log of
+	// the term in which its author looked.
+	late := c.Verb == wanted.Grant && c.Term != l.Term
+	if late {
+		c = wanted.Command{} // it takes its place, and changes nothing
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	number, err := m.state.Apply(l.Index, c)
+	if late {
+		err = fmt.Errorf("it was looked up in another term than %d", l.Term)
+	}
 	m.keep()
 	m.wake()
 	return applied{number, err}
--- a/agent/store_test.go
+++ b/agent/store_test.go
@@ -1,12 +1,16 @@
 package agent
 
 import (
+	"encoding/json"
+	"fmt"
 	"path/filepath"
 	"testing"
 
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 	"github.com/stretchr/testify/require"
+
+	"hatchproxy/agent/wanted"
 )
 
 // A leader's entries replaced some of a voter whose disk was full: the old ones were gone and the new ones found no room. It answered
@@ -41,3 +45,40 @@
 	require.Error(t, s.StoreLog(&raft.Log{Index: 4}))
 	require.False(t, apart(s), "what is in memory is on the disk")
 }
+
+// A grant was made up while its author led, and came into the log when it led again: another had led between, and promised on.
+func TestAGrantFromAnEarlierTermChangesNothing(t *testing.T) {
+	m := remember(filepath.Join(t.TempDir(), "applied.json"))
+	say := func(index, term uint64, c wanted.Command) error {
+		text, err := json.Marshal(c)
+		require.NoError(t, err)
+		return m.Apply(&raft.Log{Index: index, Term: term, Data: text}).(applied).err
+	}
+	grant := wanted.Command{ID: "g", Verb: wanted.Grant, Duty: "d", Holder: "a0", Term: 3}
+	require.ErrorContains(t, say(5, 4, grant), "another term")
+	require.Empty(t, m.state.Duties)
+	require.NoError(t, say(6, 3, grant))
+	require.EqualValues(t, 6, m.state.Duties["d"].Token)
+	require.Error(t, say(7, 3, grant), "it replaces what nobody holds any more")
+	grant.Token, grant.Holder = 6, "a1"
+	require.NoError(t, say(8, 3, grant))
+	roll := wanted.Command{ID: "r", Verb: wanted.Roll, Instances: []string{"n0", "n1", "n2"}, Share: 0.4}
+	require.NoError(t, say(9, 3, roll))
+	step := wanted.Command{ID: "r-0", Verb: wanted.Step, Of: "r", Duty: "d", Token: 6}
+	require.ErrorContains(t, say(10, 3, step), "held by token 8, and this is 6", "its holder stalled between look and act")
+	step.Token = 8
+	require.NoError(t, say(11, 3, step))
+	step.ID = "r-0 again"
+	require.ErrorContains(t, say(12, 3, step), "has begun 1 steps")
+	require.NoError(t, say(13, 3, wanted.Command{ID: "p", Verb: wanted.Pause, Of: "r"}))
+	step.ID, step.Step = "r-1", 1
+	require.ErrorContains(t, say(14, 3, step), "is paused")
+	require.NoError(t, say(15, 3, wanted.Command{ID: "o", Verb: wanted.GoOn, Of: "r"}))
+	for n := range uint64(3) {
+		step.ID, step.Step = fmt.Sprint("r-", n+1), int(n)+1
+		require.NoError(t, say(16+n, 3, step))
+	}
+	require.Equal(t, wanted.Done, m.state.Rolls[0].State)
+	again := remember(m.path)
+	require.Equal(t, m.state.Duties, again.newest().Duties, "the tokens outlive a restart")
+}
--- a/agent/wanted/wanted.go
+++ b/agent/wanted/wanted.go
@@ -37,6 +37,7 @@
 
 	Duty   string  `json:"duty,omitempty"`  // whose effect it is, with the holder's token; or which it is about
 	Token  uint64  `json:"token,omitempty"` //
+	Term   uint64  `json:"term,omitempty"`  // of a grant: that in which its author found the duty free
 	Holder string  `json:"holder,omitempty"`
 	Of     string  `json:"of,omitempty"` // a rolling restart's id
 	Step   int     `json:"step,omitempty"`
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -52,6 +52,7 @@
 	giving map[string]uint64       // by duty: the token that a grant under way replaces
 	asked  map[string]asked        // by holder
 	silent map[string]logic.Micros // by holder: when it last lost a duty by silence
+	first  logic.Micros            // when somebody asked first
 }
 
 type asked struct {
@@ -77,6 +78,9 @@
 // was replaced while it stood still would promise what another has given on.
 func (g *Giver) Ask(now logic.Micros, q Question, held map[string]Grant, barred map[string]bool) Promises {
 	promised := Promises{}
+	if len(g.asked) == 0 {
+		g.first = now
+	}
 	g.asked[q.Holder] = asked{now, q.Wants}
 	for duty, h := range held {
 		if h.Holder != q.Holder {
@@ -97,6 +101,9 @@
 // Due are the grants that are to be agreed on now, with the tokens that they replace. Each counts as under way until Over.
 func (g *Giver) Due(now logic.Micros, held map[string]Grant, barred map[string]bool) map[string]Grant {
 	due := map[string]Grant{}
+	if len(g.asked) == 0 || now-g.first < Asking {
+		return due // guards against all duties going to who asks first
+	}
 	count := map[string]int{}
 	for _, h := range held {
 		count[h.Holder]++
