--- a/cmd/hatchctl/main.go
+++ b/cmd/hatchctl/main.go
@@ -66,6 +66,6 @@
 	f.BoolVar(&t.json, "json", false, "JSON instead of a table")
 	f.DurationVar(&t.within, "within", defaultWithin, "how long to wait for all to answer")
 	root.AddCommand(t.statusCommand(), t.membersCommand(), t.ordersCommand(), t.drainCommand("drain"), t.drainCommand("undrain"),
-		t.runCommand("start"), t.runCommand("stop"), t.restartCommand(), t.reloadCommand(), t.waitCommand())
+		t.runCommand("start"), t.runCommand("stop"), t.restartCommand(), t.reloadCommand(), t.waitCommand(), t.dutiesCommand(), t.rollCommand())
 	return root
 }
--- a/cmd/hatchctl/main_test.go
+++ b/cmd/hatchctl/main_test.go
@@ -13,6 +13,7 @@
 	"hatchproxy/agent"
 	"hatchproxy/agent/keeper"
 	"hatchproxy/agent/wanted"
+	"hatchproxy/lease"
 	"hatchproxy/orders"
 )
 
@@ -34,7 +35,14 @@
 			_, _ = w.Write([]byte(`{"number":7}`))
 			return
 		}
-		_ = json.NewEncoder(w).Encode(agent.View{Agent: "a1", Leader: "a1", Instances: instances})
+		v := agent.View{Agent: "a1", Leader: "a1", Instances: instances}
+		if len(instances) > 0 && instances[0].Name == "conducted" {
+			v.Duties = []agent.DutyView{{Duty: agent.Conductor, Grant: lease.Grant{Holder: "a2", Token: 41, Why: "its holder fell silent"}, Left: 1_500_000}}
+			for _, c := range *said {
+				v.Rolls = append(v.Rolls, wanted.Rolling{ID: c.ID, State: wanted.RollState(instances[0].Why), Why: "n4 falls", Instances: c.Instances, Share: c.Share})
+			}
+		}
+		_ = json.NewEncoder(w).Encode(v)
 	}))
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String(), said
@@ -115,3 +123,31 @@
 	require.Len(t, *said, 1)
 	require.Equal(t, []string{"n1"}, (*said)[0].Instances, "a third of three at a time")
 }
+
+// A rolling restart died with the tool that drove it. Where the duty is held, the tool only says what is wanted, and watches.
+func TestARollingRestartIsConductedWhereThatDutyIsHeld(t *testing.T) {
+	for state, code := range map[wanted.RollState]int{wanted.Done: allObeyed, wanted.Paused: refused, wanted.Running: noAnswer} {
+		at, said := agentWith(t, http.StatusOK, agent.InstanceView{Name: "conducted", Why: string(state)})
+		_, got := ctl("restart", "--rolling", "--share", "0.5", "--agent", at)
+		require.Equal(t, code, got, state)
+		require.Len(t, *said, 1)
+		require.Equal(t, wanted.Roll, (*said)[0].Verb)
+		require.Equal(t, []string{"conducted"}, (*said)[0].Instances)
+	}
+}
+
+func TestDutiesAreToldAndHandedOn(t *testing.T) {
+	at, said := agentWith(t, http.StatusOK, agent.InstanceView{Name: "conducted"})
+	out, code := ctl("duties", "--agent", at)
+	require.Zero(t, code)
+	for _, word := range []string{"conductor", "a2", "41", "1.5s", "its holder fell silent"} {
+		require.Contains(t, out, word)
+	}
+	for _, args := range [][]string{{"duties", "hand-on", "conductor", "--to", "a3"}, {"duties", "bar", "a2"}, {"duties", "unbar", "a2"}, {"roll", "pause", "r1"}, {"roll", "abort", "r1"}} {
+		_, code := ctl(append(args, "--agent", at)...)
+		require.Zero(t, code, args)
+	}
+	require.Equal(t, wanted.Command{ID: (*said)[0].ID, Said: (*said)[0].Said, Verb: wanted.HandOn, Duty: "conductor", Holder: "a3"}, (*said)[0])
+	require.Equal(t, "a2", (*said)[1].Holder)
+	require.Equal(t, "r1", (*said)[3].Of)
+}
--- a/cmd/hatchctl/tool.go
+++ b/cmd/hatchctl/tool.go
@@ -431,11 +431,14 @@
 			if err != nil {
 				return err
 			}
+			if rolling && !(share > 0 && share <= 1) {
+				return exit{cannotRun, fmt.Sprintf("--share %g is not between 0 and 1", share)}
+			}
+			if v, err := t.view(c.Context()); err == nil && rolling && slices.ContainsFunc(v.Duties, func(d agent.DutyView) bool { return d.Duty == agent.Conductor }) {
+				return t.conducted(c, names, share)
+			}
 			batch := len(names)
 			if rolling {
-				if !(share > 0 && share <= 1) {
-					return exit{cannotRun, fmt.Sprintf("--share %g is not between 0 and 1", share)}
-				}
 				batch = max(1, int(share*float64(len(names))+1e-9))
 			}
 			for some := range slices.Chunk(names, batch) {
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -437,3 +437,38 @@
 		require.True(t, kinds(chaos.Judge(rec.End(t.Context()), bound))["two holders"])
 	})
 }
+
+// How long nobody can act on a duty: HATCHLAB_LONG=1 go test ./lab/chaos -run HowLong -v -timeout 20m
+func TestHowLongNobodyHoldsADuty(t *testing.T) {
+	if os.Getenv("HATCHLAB_LONG") == "" {
+		t.Skip("minutes; for figures")
+	}
+	ms := time.Millisecond
+	for name, f := range map[string]chaos.Fault{"kill": {Kind: chaos.Crash, On: chaos.OfHolder}, "stall": {Kind: chaos.Doze, On: chaos.OfHolder}, "cut": {Kind: chaos.Cut, On: chaos.OfHolder},
+		"kill of who gives it": {Kind: chaos.Crash, On: chaos.OfLeader}, "hand-on": {}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := raiseAs(t, "agent", chaos.Layout{Agents: 5, Sites: 1, Seed: 1, Duties: []string{agent.Conductor}})
+			for a := range 5 {
+				require.NoError(t, m.Start(a))
+			}
+			require.NoError(t, m.Rise(t.Context()))
+			rec := m.Record(t.Context())
+			time.Sleep(3 * time.Second)
+			for n := range 25 {
+				if f.Kind == "" {
+					_, err := rec.Say(t.Context(), n%5, wanted.Command{ID: fmt.Sprint("h", n), Verb: wanted.HandOn, Duty: agent.Conductor}, time.Second)
+					require.NoError(t, err)
+				} else {
+					f.For = 5 * time.Second
+					require.NoError(t, rec.Suffer(t.Context(), f))
+				}
+				time.Sleep(2 * time.Second)
+			}
+			r := rec.End(t.Context())
+			require.False(t, kinds(chaos.Judge(r, bound))["two holders"])
+			gaps := r.Unheld(agent.Conductor)
+			t.Logf("%d times, p50 %v, p90 %v, worst %v", len(gaps), gaps[len(gaps)/2].Round(ms), gaps[len(gaps)*9/10].Round(ms), gaps[len(gaps)-1].Round(ms))
+		})
+	}
+}
--- a/lab/chaos/judge.go
+++ b/lab/chaos/judge.go
@@ -216,20 +216,20 @@
 	return found
 }
 
-// Unheld is how long nobody could act on a duty, each time: from when an agent that could was seen last until one was seen again, in
+// Unheld is how long nobody could act on a duty, each time that it went to another, or for longer than looks are apart: from when an agent that could was seen last until one was seen again, in
 // the order of length. Looks come each 40 ms, so that it is told up to twice as much too long.
 func (r Record) Unheld(duty string) (gaps []time.Duration) {
-	last := time.Duration(-1)
+	last, by := time.Duration(-1), uint64(0)
 	seen := slices.Clone(r.Seen)
 	slices.SortStableFunc(seen, func(a, b Seen) int { return cmp.Compare(a.At, b.At) })
 	for _, s := range seen {
 		if s.Holds[duty] == 0 {
 			continue
 		}
-		if last >= 0 && s.At-last > 4*seeing {
+		if last >= 0 && (s.At-last > 4*seeing || by != s.Holds[duty]) {
 			gaps = append(gaps, s.At-last)
 		}
-		last = s.At
+		last, by = s.At, s.Holds[duty]
 	}
 	slices.Sort(gaps)
 	return gaps
