--- a/agent/agent.go
+++ b/agent/agent.go
@@ -160,7 +160,7 @@
 		return err
 	}
 	a := &Agent{config: p, clock: clock, log: log, journal: journal, there: members.New(suspect, lose, settle)}
-	a.duties = &duties{a: a}
+	a.duties = &duties{a: a, freed: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, c := range p.Instance {
--- a/agent/duties.go
+++ b/agent/duties.go
@@ -30,6 +30,8 @@
 	holdMu sync.Mutex
 	holder lease.Holder
 
+	freed chan struct{} // a duty was given back: somebody else may have it at once
+
 	roundMu sync.Mutex
 	round   *round     // the one that begins next
 	one     sync.Mutex // a round at a time
@@ -49,6 +51,7 @@
 	for {
 		select {
 		case <-time.After(giving):
+		case <-d.freed:
 		case <-ctx.Done():
 			return
 		}
@@ -146,6 +149,12 @@
 	if !leads || d.giver == nil || d.term != term {
 		return nil, errNotGiving
 	}
+	if len(q.Gives) > 0 {
+		select {
+		case d.freed <- struct{}{}:
+		default: // it is looked already
+		}
+	}
 	return d.giver.Ask(d.a.clock.Now(), q, held, barred), nil
 }
 
