--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,7 +53,7 @@
 	dialing     logic.Micros
 	late        logic.Micros // what a message takes at a server that is told to be late
 	delays      bool         // the settings say that servers tell delays beside loads
-	delaysHeard int          // series of them heard, less figures that were wrongly taken for one
+	delaysHeard int          // series of them heard, less figures that were wrongly taken for one; -1 at least
 	most        int          // sockets
 
 	clients  map[logic.AttachmentID]*client
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -66,7 +66,7 @@
 		p.in.LoadChanged(now, c.id, x)
 		return
 	}
-	switch s.figures.Hear(now, &c.figures, s.standing, p.delaysHeard > 0, x) {
+	switch s.figures.Hear(now, &c.figures, s.standing, p.delaysHeard >= 0, x) {
 	case notes.Load:
 		p.in.LoadChanged(now, c.id, x)
 	case notes.Both:
@@ -91,9 +91,10 @@
 const sureOfDelays = 4
 
 // tellsDelays counts a series of delays, or a figure that was taken for one and was none. While more of the former were
-// heard, nobody is probed.
+// heard, nobody is probed. What the settings promise is believed of a first small figure until one proves to be none: in
+// fleets that do tell, the word of a server's first late second was missed by each proxy (docs/incidents/promised-delays.md).
 func (p *Proxy) tellsDelays(by int) {
-	p.delaysHeard = min(max(p.delaysHeard+by, 0), sureOfDelays)
+	p.delaysHeard = min(max(p.delaysHeard+by, -1), sureOfDelays)
 	p.in.HearDelays(p.delaysHeard > 0)
 }
 
