--- a/lab/chaos/machines.go
+++ b/lab/chaos/machines.go
@@ -95,7 +95,16 @@
 )
 
 // Raise writes the agents' files into a folder and makes the links; nothing runs yet.
-func Raise(command []string, folder string, l Layout) (*Machines, error) {
+func Raise(command []string, folder string, l Layout) (m *Machines, err error) {
+	for range 5 { // another program may have drawn the same part of loopback
+		if m, err = raise(command, folder, l); !errors.Is(err, syscall.EADDRINUSE) {
+			return m, err
+		}
+	}
+	return nil, err
+}
+
+func raise(command []string, folder string, l Layout) (*Machines, error) {
 	agents, hear := l.Agents, l.Hear
 	if agents > mostMachines {
 		return nil, fmt.Errorf("%d machines: %d are the most", agents, mostMachines)
@@ -115,6 +124,7 @@
 			at := netip.AddrPortFrom(address(kind, a), port).String()
 			reached, err := m.Net.Serve(m.names[a], netip.AddrPortFrom(address(advertised, a), port+uint16(n)).String(), at)
 			if err != nil {
+				m.Net.Close()
 				return nil, err
 			}
 			if kind == listens {
