--- a/agent/agent.go
+++ b/agent/agent.go
@@ -196,6 +196,7 @@
 	case <-ctx.Done():
 	case err = <-founded:
 		founded <- nil
+		// Only now: one that ends while it is taken out and in again would come back as nobody's voter.
 		if err == nil {
 			select {
 			case <-ctx.Done():
@@ -203,8 +204,6 @@
 				err = errApart
 			}
 		}
-	case <-journal.store.apart:
-		err = errApart
 	}
 	cancel()
 	err = errors.Join(err, <-founded)
--- a/lab/chaos/record.go
+++ b/lab/chaos/record.go
@@ -133,7 +133,13 @@
 		}
 		ended = r.Ended
 	})
+	supervise := func() { // as whoever runs agents starts those again that have ended
+		for a := range m.names {
+			_ = m.Start(a)
+		}
+	}
 	err := until(ctx, waiting, func() (good bool) {
+		supervise()
 		var err error
 		number, err = rec.Say(ctx, n%len(m.names), wanted.Command{ID: fmt.Sprint("last", n), Verb: wanted.Undrain, Server: server}, impatient)
 		n++
@@ -141,6 +147,7 @@
 	})
 	if err == nil {
 		err = until(ctx, time.Until(end), func() bool {
+			supervise()
 			for a := range m.names {
 				if s, err := rec.look(ctx, a); err != nil || s.Applied < number {
 					return false
