--- a/cmd/hatchctl/duties.go
+++ b/cmd/hatchctl/duties.go
@@ -92,21 +92,14 @@
 		Use: "duties", Short: "Duties that one agent holds at a time: who holds each, by which token, since when and why", Args: cobra.NoArgs,
 		Example: "  hatchctl duties --watch 1s\n  hatchctl duties hand-on conductor --to a2\n  hatchctl duties bar a1",
 		RunE: func(c *cobra.Command, _ []string) error {
-			for {
+			return watching(c, watch, func() error {
 				v, err := t.leading(c)
 				if err != nil {
 					return exit{cannotRun, err.Error()}
 				}
 				t.print(c.OutOrStdout(), v.Duties, func(w io.Writer) { tellDuties(w, v) })
-				if watch <= 0 {
-					return nil
-				}
-				select {
-				case <-time.After(watch):
-				case <-c.Context().Done():
-					return nil
-				}
-			}
+				return nil
+			})
 		},
 	}
 	duties.Flags().DurationVar(&watch, "watch", 0, "tell it again whenever so much time has passed")
--- a/cmd/hatchctl/tool.go
+++ b/cmd/hatchctl/tool.go
@@ -234,7 +234,7 @@
 		Use: "status [INSTANCE]", Short: "What each instance sees; of one, with its servers", Args: cobra.MaximumNArgs(1),
 		Example: "  hatchctl status\n  hatchctl status n3\n  hatchctl status --watch 2s",
 		RunE: func(c *cobra.Command, args []string) error {
-			for {
+			return watching(c, watch, func() error {
 				v, err := t.view(c.Context())
 				if err != nil {
 					return exit{cannotRun, err.Error()}
@@ -246,21 +246,28 @@
 					}
 				}
 				t.print(c.OutOrStdout(), v, func(w io.Writer) { tellStatus(w, v, len(args) == 1) })
-				if watch <= 0 {
-					return nil
-				}
-				select {
-				case <-time.After(watch):
-				case <-c.Context().Done():
-					return nil
-				}
-			}
+				return nil
+			})
 		},
 	}
 	c.Flags().DurationVar(&watch, "watch", 0, "tell it again whenever so much time has passed")
 	return c
 }
 
+// watching tells something once, or again whenever so much time has passed.
+func watching(c *cobra.Command, every time.Duration, tell func() error) error {
+	for {
+		if err := tell(); err != nil || every <= 0 {
+			return err
+		}
+		select {
+		case <-time.After(every):
+		case <-c.Context().Done():
+			return nil
+		}
+	}
+}
+
 func tellStatus(w io.Writer, v agent.View, servers bool) {
 	fmt.Fprintln(w, "INSTANCE\tAGENT\tSTATE\tMEMBER\tSTANDING\tLIST\tORDERS\tCONFIG\tUP")
 	for _, i := range v.Instances {
