A watch that has fallen silent is asked beside in time; no send by an outdated list

Worked out: the watch that opened at 0.03 waits 10 s; what it misses counts as told at 12.03 s (2 s after the wait); with the grace of 2 s sends end at 14.03 s. discovery.ask gave the call up at hold + working = 14.03 s, and logic.ListFailed had the next one made 0.5 to 1.5 s later: 14.5 to 15.5 s at best. Ruled out: a service that was late (calls of other proxies were answered in milliseconds), decisions (no send to a server that the proxy knew to drain), lists spoilt on the way (none in the logs).

Lines at fault: discovery.go, `working = 4 * time.Second` on top of a wait of the whole span; ListFailed's first wait after it. Derivation now: an answer that is 0.5 s overdue is asked for beside the call that is out; the new call has 1.5 s and the grace to be dialled, turned away once, or wait its turn; what comes first counts. A first look (6 s, 4 s after a new configuration) is asked again after 2 s. Waits are drawn from 0.6 of the span to all of it, so that watches that fall silent together are not all asked for in one moment (300 proxies).

Decided for the rest: from the time at which the list counts as told, and the grace, until a word comes, nothing is sent (Outdated); for one more span at most, as a fleet that serves nobody is worse than one that goes by an old list. Agents (pushed lists) are called again after 0.1 s. And what was chosen before the list changed is looked at again when its bytes go out (MaySend): a dial that came up late wrote to a server that drained by then (found by reading; test seen red). The same holds for a stamp's window.

--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -183,11 +183,13 @@
 		paper = fresh
 		products, limits := fresh.Products()
 		return proxy.Renewal{Service: service(fresh), Rules: rules, Products: products, Limits: limits,
-			Dialing: fresh.Dialing(), Late: fresh.Late(), Delays: fresh.TellsDelay()}, nil
+			Dialing: fresh.Dialing(), Late: fresh.Late(), Delays: fresh.TellsDelay(),
+			Grace: fresh.Grace(), Within: fresh.Asking(), Pushed: fresh.Pushed()}, nil
 	}
 	log = log.With("proxy", paper.Name())
 	p := proxy.New(log, b, listen, service(paper), paper.Known(), products, limits,
 		zones, models, paper.Dialing(), paper.Late(), sockets)
+	p.Bounds(paper.Grace(), paper.Asking(), paper.Pushed())
 	first, err := readOrders(held)
 	if err != nil {
 		return err
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -78,9 +79,23 @@
 
 const (
 	connecting = time.Second
-	// working is how long a call may take beyond its wait: the service takes calls in turn and gives up on
-	// those that have waited for some seconds, so this is only for one that says nothing at all.
+	// look is the wait of a call that only wants to know what there is.
+	look = time.Millisecond
+	// overdue is how long an answer that its wait has made due may be out before it is asked for beside the call that is
+	// out. What a watch misses that has fallen silent counts as told 2 s after its wait is over: that leaves three
+	// quarters of it to a call that has to be dialled, is turned away once, or waits its turn.
+	overdue = 500 * time.Millisecond
+	// lookOverdue is the same for a look. What it does not bring counts as told after 6 s, 4 s after a new configuration;
+	// a service that takes calls in turn is a second or two behind where all proxies come at once, and a second call
+	// from each would only lengthen its queue.
+	lookOverdue = 2 * time.Second
+	// working is how long a look may take in all; the service gives up on those that have waited for some seconds.
 	working = 4 * time.Second
+	// mostOut is how many calls are out at once: one, and the one that comes in its place.
+	mostOut = 2
+	// leastHold is the least part of the longest wait that a watch is given. Watches that began with the same change, and
+	// have fallen silent together, end apart, and so do the calls that come in their place.
+	leastHold = 0.6
 	// largest is far above any list; a longer answer is garbage.
 	largest = 64 << 20
 )
@@ -91,7 +106,7 @@
 		base: "http://" + address + "/v1/servers", hold: hold,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: connecting}).DialContext,
-			MaxConnsPerHost:    2, // a watch, and the one that comes in its place
+			MaxConnsPerHost:    mostOut,
 			DisableCompression: true,
 		}},
 	}
@@ -103,22 +118,74 @@
 // None is the version of no list at all.
 const None = -1
 
-// Follow asks for what is newer than a version, at once, and then goes on watching. Each answer is handed to
-// told; it ends with the first call that fails, and with ctx.
-func (s *Service) Follow(ctx context.Context, version int64, told func(version int64, tell func(List))) error {
-	hold := time.Millisecond
+// Follow asks for what is newer than a version, at once, and then goes on watching. Each answer is handed to told, with
+// the wait of the watch that is opened next; it ends with the first call that fails, and with ctx.
+func (s *Service) Follow(ctx context.Context, version int64, told func(version int64, hold time.Duration, tell func(List))) error {
+	hold := look
 	for {
-		next, tell, err := s.ask(ctx, version, hold)
-		if err != nil {
-			return err
+		heard := s.hear(ctx, version, hold)
+		if heard.wrong != nil {
+			return heard.wrong
 		}
-		version, hold = next, s.hold
-		told(version, tell)
+		version, hold = heard.version, s.nextHold()
+		told(version, hold, heard.tell)
 	}
 }
 
-func (s *Service) ask(ctx context.Context, version int64, hold time.Duration) (int64, func(List), error) {
-	ctx, cancel := context.WithTimeout(ctx, hold+working)
+// nextHold draws how long the next watch may wait.
+func (s *Service) nextHold() time.Duration {
+	return time.Duration(float64(s.hold) * (leastHold + (1-leastHold)*rand.Float64()))
+}
+
+// answer is what came of a call.
+type answer struct {
+	version int64
+	tell    func(List)
+	wrong   error
+}
+
+// hear asks, and asks again beside a call whose answer is overdue; what comes first counts. Guards against a watch that
+// has fallen silent, which only its wait tells from one that has nothing to say.
+func (s *Service) hear(ctx context.Context, version int64, hold time.Duration) answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, mostOut)
+	out := 0
+	ask := func(hold, most time.Duration) {
+		out++
+		go func() { answers <- s.ask(ctx, version, hold, most) }()
+	}
+	late := lookOverdue
+	if hold == look {
+		ask(look, working)
+	} else {
+		late = hold + overdue
+		ask(hold, late+overdue)
+	}
+	again := time.NewTimer(late)
+	defer again.Stop()
+	for {
+		select {
+		case heard := <-answers:
+			if out--; heard.wrong == nil || out == 0 {
+				return heard
+			}
+		case <-again.C:
+			if out < mostOut {
+				ask(look, working)
+			}
+			again.Reset(lookOverdue)
+		}
+	}
+}
+
+func (s *Service) ask(ctx context.Context, version int64, hold, most time.Duration) answer {
+	version, tell, err := s.call(ctx, version, hold, most)
+	return answer{version, tell, err}
+}
+
+func (s *Service) call(ctx context.Context, version int64, hold, most time.Duration) (int64, func(List), error) {
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	url := s.base
 	if version >= 0 {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,12 +1,15 @@
 package discovery_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hatchproxy/internal/discovery"
+	"hatchproxy/lab/fleet"
 	"hatchproxy/logic"
 )
 
@@ -30,6 +33,69 @@
 	require.Equal(t, told{"whole", fmt.Sprint("s-1", "h:1", "a", "m2", 3, logic.Draining, 1.5, 7000), "done"}, *l)
 }
 
+// follow follows a stand-in's list and notes the versions that are told.
+func follow(t *testing.T, at string, hold time.Duration) <-chan int64 {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	versions := make(chan int64, 100)
+	go func() {
+		_ = discovery.At(at, hold).Follow(ctx, discovery.None, func(v int64, _ time.Duration, _ func(discovery.List)) { versions <- v })
+	}()
+	return versions
+}
+
+// soon waits for what is told next.
+func soon(t *testing.T, told <-chan int64) int64 {
+	select {
+	case version := <-told:
+		return version
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "nothing is told")
+		return 0
+	}
+}
+
+func TestACallThatIsOverdueIsMadeAgainBesideTheOneThatIsOut(t *testing.T) {
+	for name, silent := range map[string]func(*fleet.Hand, <-chan int64){
+		"a watch": func(list *fleet.Hand, told <-chan int64) {
+			require.Equal(t, int64(1), soon(t, told))
+			require.Eventually(t, func() bool { return list.Calls() > 1 }, time.Second, time.Millisecond)
+			list.Hush()
+		},
+		"the first look": func(list *fleet.Hand, told <-chan int64) {
+			require.Eventually(t, func() bool { return list.Calls() > 0 }, time.Second, time.Millisecond)
+			list.Break("")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			list, err := fleet.ByHand()
+			require.NoError(t, err)
+			list.Set("s0", "127.0.0.1:1", "ready")
+			if name == "the first look" {
+				list.Break("silent")
+			}
+			told := follow(t, list.Address(), 300*time.Millisecond)
+			silent(list, told)
+			began := time.Now()
+			list.Set("s0", "", "draining")
+			require.Equal(t, int64(2), soon(t, told))
+			require.Less(t, time.Since(began), 2300*time.Millisecond, "2 s after its wait is over what it misses counts as told")
+			require.Eventually(t, func() bool { return list.Calls() > 3 }, 2*time.Second, time.Millisecond, "it is watched again")
+		})
+	}
+}
+
+func TestAServiceThatTurnsCallsAwayEndsTheWatchAtOnce(t *testing.T) {
+	list, err := fleet.ByHand()
+	require.NoError(t, err)
+	list.Break("down")
+	began := time.Now()
+	err = discovery.At(list.Address(), time.Second).Follow(context.Background(), discovery.None, nil)
+	require.ErrorContains(t, err, "503")
+	require.Less(t, time.Since(began), time.Second)
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"rev":43,"all":false,"targets":[{"uid":"s","state":"gone","boot_ms":1e300}]}`))
 	f.Add([]byte(`{"rev":null}`))
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -28,7 +28,9 @@
 
 	known json.RawMessage
 	sum   string
-	kinds map[string]string // what stands under each key
+
+	pushed bool              // an agent has each change at once
+	kinds  map[string]string // what stands under each key
 }
 
 // FromEnvironment reads the file that ROUTER_CONFIG names; ROUTER_NAME and ROUTER_LISTEN, where set, go before
@@ -108,7 +110,8 @@
 		book: book, seed: seed, name: found.Name, listen: found.Listen, discovery: found.Discovery,
 		admin: found.Admin,
 		cores: found.Limits.Cores, memoryMB: found.Limits.MemoryMB, sockets: found.Limits.Sockets,
-		known: found.Known, kinds: kinds, sum: fmt.Sprintf("%x", sha256.Sum256(text))[:16],
+		pushed: book["membership-mode"] == "automatic",
+		known:  found.Known, kinds: kinds, sum: fmt.Sprintf("%x", sha256.Sum256(text))[:16],
 	}, nil
 }
 
@@ -293,6 +296,11 @@
 func (p *Paper) Dialing() logic.Micros { return p.span("limits.dial-timeout-ms", 250) }
 func (p *Paper) Asking() logic.Micros  { return p.span("invariants.ask-within-ms", 10_000) }
 
+// Grace is how long after a server was told to drain it may still be sent to; Pushed says that what is told is told to
+// an agent at once, whether or not it is asked.
+func (p *Paper) Grace() logic.Micros { return p.span("invariants.stop-sending-within-ms", 0) }
+func (p *Paper) Pushed() bool        { return p.pushed }
+
 // Late is what a message takes at a server whose messages are late: a third of the shortest quoted time.
 func (p *Paper) Late() logic.Micros {
 	products, _ := p.book.products() // checked at the start
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -86,7 +85,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Microsecond)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", endpoint)
+	conn, err := p.connect(ctx, endpoint)
 	if err != nil {
 		none(err)
 		return
@@ -111,6 +110,10 @@
 	if d.over {
 		return gnet.Close
 	}
+	if d.client.talk.Stands == "" && !p.in.MaySend(p.now(), d.client.at) {
+		p.failed(d, logic.Moot) // nothing was written
+		return gnet.Close
+	}
 	d.conn = conn
 	_, err := conn.Write(d.client.talk.Line(d.until - p.now()))
 	d.written = err == nil && conn.OutboundBuffered() == 0
--- /dev/null
+++ b/internal/proxy/follow_test.go
@@ -0,0 +1,106 @@
+package proxy_test
+
+import (
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/discovery"
+	"hatchproxy/internal/opening"
+	"hatchproxy/internal/proxy"
+	"hatchproxy/lab/fleet"
+	"hatchproxy/logic"
+)
+
+// answers is the line that a client hears that asks and goes.
+func (s *stage) answers() string {
+	c := s.open("c=chat,d=1500")
+	defer c.Close()
+	require.NoError(s, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	line, err := c.in.ReadString('\n')
+	require.NoError(s, err)
+	return strings.TrimSuffix(line, "\r\n")
+}
+
+// A watch fell silent right after the start, a server began to drain, and 14 s later it was still sent to: the call was
+// given up 4 s after its wait, and the next one came a second after that.
+func TestADrainThatASilentWatchMissesIsHeardBeforeItCounts(t *testing.T) {
+	s, servers := play(t, 1024, "UP a", "UP b")
+	watching := s.list.Calls()
+	require.Eventually(t, func() bool { return s.list.Calls() > watching }, 5*time.Second, time.Millisecond, "a new watch")
+	s.list.Hush()
+	silent := time.Now()
+	s.list.Set("s0", "", "draining")
+	calls := s.list.Calls()
+	require.Eventually(t, func() bool { return s.list.Calls() > calls+1 }, 5*time.Second, time.Millisecond,
+		"another call and, as that was answered, the next watch")
+	require.Less(t, time.Since(silent), 3*time.Second, "its wait of a second, and the two after which it counts as told")
+	for range 4 {
+		s.open("c=chat,d=1500").hears("UP b")
+	}
+	require.Empty(t, servers[0].Lines())
+}
+
+// A dispatch was dialled when its server began to drain, and the connection came up when that had long been told.
+func TestNothingIsWrittenToAServerThatDrainsWhenTheDialComesUp(t *testing.T) {
+	dialled, release := make(chan struct{}, 10), make(chan struct{})
+	s, servers := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
+		p.Between(func(c net.Conn, err error) (net.Conn, error) {
+			dialled <- struct{}{}
+			<-release
+			return c, err
+		})
+	}, "UP a")
+	first := s.open("c=chat,d=1500")
+	<-dialled
+	s.list.Set("s0", "", "draining")
+	require.Eventually(t, func() bool {
+		s.open("c=chat,d=60").hears("BUSY")
+		select {
+		case <-dialled:
+			return false
+		default:
+			return true
+		}
+	}, 5*time.Second, time.Millisecond, "the proxy has heard of the drain")
+	close(release)
+	first.hears("BUSY")
+	require.Empty(t, servers[0].Lines())
+}
+
+// What a list's service has to tell counts as told some time after a new configuration named it, whether or not it speaks.
+func TestWhileTheListIsTooOldNothingIsSentByIt(t *testing.T) {
+	const grace = 200 * logic.Millisecond
+	s, servers := playWith(t, 1024, func(p *proxy.Proxy) { p.Bounds(grace, 10*logic.Second, false) }, "UP a")
+	other, err := fleet.ByHand()
+	require.NoError(t, err)
+	other.Break("silent")
+	s.file = func() (proxy.Renewal, error) {
+		rules, err := opening.Lines(book).Balancer(9)
+		return proxy.Renewal{Service: discovery.At(other.Address(), time.Second), Rules: rules, Products: []string{"chat", "pay"},
+			Limits: []logic.Micros{1500 * logic.Millisecond, 1500 * logic.Millisecond}, Dialing: 250 * logic.Millisecond,
+			Late: 50 * logic.Millisecond, Grace: grace, Within: 10 * logic.Second}, err
+	}
+	s.again <- syscall.SIGHUP
+	began := time.Now()
+	s.open("c=chat,d=1500").hears("UP a")
+	var old time.Time
+	require.Eventually(t, func() bool {
+		old = time.Now()
+		return s.answers() == "BUSY"
+	}, 9*time.Second, 20*time.Millisecond, "what it says counts as told by now")
+	require.Greater(t, old.Sub(began), 4*time.Second, "it goes by the list while it may")
+	sent := len(servers[0].Lines())
+	waits := s.open("c=chat,d=1500")
+	second, err := fleet.NewPuppet(func(string) string { return "UP b" })
+	require.NoError(t, err)
+	other.Set("s9", second.Address, "ready")
+	other.Break("")
+	require.Eventually(t, func() bool { return s.answers() == "UP b" }, 8*time.Second, 20*time.Millisecond, "it speaks, and that is gone by")
+	require.Len(t, servers[0].Lines(), sent, "nothing went by the old one")
+	waits.hears("BUSY")
+}
--- /dev/null
+++ b/internal/proxy/hooks_test.go
@@ -0,0 +1,12 @@
+package proxy
+
+import (
+	"context"
+	"net"
+)
+
+// Between has a test stand between a proxy and its dials, before it runs: what a dial brings goes through it.
+func (p *Proxy) Between(through func(net.Conn, error) (net.Conn, error)) {
+	dial := p.connect
+	p.connect = func(ctx context.Context, endpoint string) (net.Conn, error) { return through(dial(ctx, endpoint)) }
+}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -47,7 +46,7 @@
 func (p *Proxy) dialProbe(pr *probe, endpoint string) {
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(p.dialing)*time.Microsecond)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", endpoint)
+	conn, err := p.connect(ctx, endpoint)
 	if err == nil {
 		var result <-chan gnet.RegisteredResult
 		if result, err = p.loop.Enroll(gnet.NewContext(context.Background(), pr), conn); err == nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -71,10 +71,12 @@
 	reread   func() (Renewal, error)
 	listAt   logic.Micros // when the list was last told
 	version  int64
+	age      age
 	watch    context.CancelFunc
 	watching int // the number of the watch whose answers count
 	ready    bool
-	sockets  int // descriptors of clients and dispatches
+	sockets  int                                                          // descriptors of clients and dispatches
+	connect  func(ctx context.Context, endpoint string) (net.Conn, error) // dials a server
 	due      dueTimes
 	timer    *time.Timer
 	duty     duty
@@ -101,6 +103,9 @@
 		dialing: dialing, late: late, most: int(sockets) - ownSockets,
 		clients: map[logic.AttachmentID]*client{}, ids: map[uint64]bool{}, servers: map[logic.ServerID]*server{}, version: discovery.None,
 		desk: orders.New(),
+		connect: func(ctx context.Context, endpoint string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", endpoint)
+		},
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	numbers := make([]logic.ProductID, len(products))
@@ -329,47 +334,6 @@
 	return n
 }
 
-// Subscribe begins a new watch on the server list. Answers of an earlier one no longer count.
-func (p *Proxy) Subscribe() {
-	if p.watch != nil {
-		p.watch()
-	}
-	ctx, cancel := context.WithCancel(p.ctx)
-	p.watch = cancel
-	p.watching++
-	number, from := p.watching, p.version
-	told := func(version int64, tell func(discovery.List)) {
-		p.post(func() {
-			if number != p.watching {
-				return
-			}
-			p.version, p.ready = version, true
-			tell(&listed{p, false})
-			p.accept()
-		})
-	}
-	go func() {
-		err := p.service.Follow(ctx, from, told)
-		p.post(func() {
-			if number == p.watching && p.ctx.Err() == nil {
-				p.log.Warn("the server list cannot be had", "error", err)
-				p.ready = p.ready || len(p.servers) > 0
-				p.in.ListFailed(p.now())
-				p.accept()
-			}
-		})
-	}()
-}
-
-// renew follows the list of another service from now on. The last list is kept until the first answer, which is
-// a whole one: versions are those of a service, and one of the old would hide changes.
-func (p *Proxy) renew(to *discovery.Service) {
-	old := p.service
-	p.service, p.version = to, discovery.None
-	p.Subscribe()
-	old.Close()
-}
-
 // Speak is for lines that carry many instances.
 func (p *Proxy) Speak(host.InstanceID) {}
 
--- a/internal/proxy/renew.go
+++ b/internal/proxy/renew.go
@@ -22,6 +22,8 @@
 	Limits        []logic.Micros
 	Dialing, Late logic.Micros
 	Delays        bool
+	Grace, Within logic.Micros
+	Pushed        bool
 }
 
 // offer replaces the classes that new clients may ask for. Those in hand keep what they began with.
@@ -57,4 +59,5 @@
 func (p *Proxy) retune(fresh Renewal) {
 	p.offer(fresh.Products, fresh.Limits, p.in.Retune(fresh.Rules))
 	p.dialing, p.late, p.delays = fresh.Dialing, fresh.Late, fresh.Delays
+	p.Bounds(fresh.Grace, fresh.Within, fresh.Pushed)
 }
--- a/lab/fleet/discovery.go
+++ b/lab/fleet/discovery.go
@@ -90,6 +90,7 @@
 	told    map[int]int64     // the version last told, by server
 	reached map[string]string // by endpoint
 	calls   int
+	hushed  int // calls up to this one are never answered
 }
 
 // garbage is what a front answers that has lost its mind; each is to be refused whole.
@@ -179,8 +180,11 @@
 	_ = f.server.Close()
 }
 
+// Hush has it never answer the calls that are out now: open watches fall silent.
+func (f *Front) Hush() { f.change(func() { f.hushed = f.calls }) }
+
 // Late has it tell changes that much later; Freeze has it tell no change at all, Break has it answer 503 ("down"),
-// garbage ("garbage"), or these words; "" mends it.
+// garbage ("garbage"), nothing to whoever calls ("silent"), or these words; "" mends it.
 func (f *Front) Late(by Micros) { f.change(func() { f.lag = by }) }
 
 func (f *Front) Freeze(on bool) {
@@ -231,6 +235,7 @@
 	late := time.After(time.Duration(hold) * time.Millisecond)
 	f.mu.Lock()
 	f.calls++
+	number := f.calls
 	f.mu.Unlock()
 	f.list.mu.Lock()
 wait:
@@ -255,10 +260,14 @@
 		f.list.mu.Lock()
 	}
 	f.mu.Lock()
-	rev, broken := f.visible(), f.broken
+	rev, broken, hushed := f.visible(), f.broken, number <= f.hushed
 	f.mu.Unlock()
 	history := f.list.history[:rev]
 	f.list.mu.Unlock()
+	if hushed || broken == "silent" {
+		<-r.Context().Done()
+		return
+	}
 	switch broken {
 	case "":
 	case "garbage":
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 // following is the state of the calls for the list.
 type following struct {
 	whole, asking, on bool // a whole list is being told; a call is out; the subscription stands
+	outdated          bool // what has changed counts as told by now, and was not heard
 	askAt             Micros
 	misses            int
 }
@@ -216,10 +217,14 @@
 func (b *Balancer) ListFailed(now Micros) {
 	b.follow.asking, b.follow.on = false, false
 	b.follow.misses++
-	// 1 s at first, doubling to at most a third of the span within which the list must be asked.
-	b.follow.askAt = b.around(now, min(Second<<min(b.follow.misses-1, 4), max(Second, b.list.Within/3)))
+	// 1 s at first, doubling to at most a third of the span within which the list must be asked, or a tick.
+	b.follow.askAt = b.around(now, min(Second<<min(b.follow.misses-1, 4), max(tick, b.list.Within/3)))
 }
 
+// Outdated says whether the list is too old to send by: what it misses counts as told. Guards against sends to
+// who drains while the list's service is silent. It hurts while that lasts: all wait, or are pushed back.
+func (b *Balancer) Outdated(is bool) { b.follow.outdated = is }
+
 func (b *Balancer) followList(now Micros) {
 	if !b.list.Subscribe || b.follow.on || now < b.follow.askAt {
 		return
@@ -300,6 +305,11 @@
 	return b.open(s) && b.mayGo(now, s, a) && b.warmEnough(now, s, a)
 }
 
+// MaySend asks again as a dispatch's bytes are about to go out: the server may drain by now, a stamp be lost.
+func (b *Balancer) MaySend(now Micros, a *Attachment) bool {
+	return a.on != nil && !b.follow.outdated && b.open(a.on) && b.mayGo(now, a.on, a)
+}
+
 // ill servers are passed over while another may be had; mayTake tells what may be sent to at all.
 func (s *server) ill(now Micros) bool { return s.Shunned > now || s.stuck(now) }
 
@@ -453,7 +463,7 @@
 	if s == nil && !(b.common() && b.out > 0) {
 		s = b.pick(now, a)
 	}
-	if s == nil {
+	if s == nil || b.follow.outdated {
 		return Answer{Verdict: NotYet, For: min(holdFor, a.Limit-now-4*Millisecond)}
 	}
 	b.put(now, s, a)
