Half-written lines: what is not out is never sent later, what went out late may have run

A connection to a server whose buffers take nothing leaves the line in the proxy's own buffer. Seen, each by its test without the mend: - a client left, and its line went out as soon as there was room: drop() ended the connection with shut(conn, false), which waits up to 1 s for what is buffered to be written, and the event loop writes the rest at a close. The same after a time limit: the client had been pushed back by then, or another dispatch was out. - a one-shot line went out late, its server broke off, and the client was told BUSY (never ran): `written` was set once, in connected(), as OutboundBuffered() == 0 at that moment. Checked: gnet's close writes residual bytes before it closes; its Write closes the connection itself where the kernel fails, and tells so before it returns. Ruled out: the line in two parts while the connection stays (gnet writes the rest in order).

Mend: written() asks the connection when it matters, so nothing can be stale; a dispatch that ends with part of its line unwritten has its sending shut before the close, and is reset. settle() tells what never ran as such, so a one-shot client that was still dialled for hears BUSY and not ERR when the proxy leaves.

Also: where a server ended a standing connection the client's side was closed at once; over unread bytes that is a reset, and the server's last line went with it (TestTheLastWordOfAServer...: "connection reset by peer" instead of an end). The client's side now bows as after every other last word, and so does the server's side where the client ended.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -271,7 +271,11 @@
 	if c.stands {
 		p.unseat(c)
 		p.in.ClientLeft(p.now(), c.id)
-		p.shut(c.out.conn, reset)
+		if reset {
+			p.shut(c.out.conn, true)
+		} else {
+			p.bow(c.out.conn, p.now()+second)
+		}
 		return
 	}
 	p.release(c)
@@ -310,8 +314,8 @@
 	_ = conn.Close()
 }
 
-// bow ends a client's connection after the last word to it: it ends the sending, and closes once the client has,
-// or after a second. Guards against a reset for what the client still sends, which may overtake that word.
+// bow ends a connection after the last word to the other side: it ends the sending, and closes once that side has, or
+// after a second. Guards against a reset for what that side still sends, which may overtake the word.
 func (p *Proxy) bow(conn gnet.Conn, latest logic.Micros) {
 	switch {
 	case !isOpen(conn):
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -32,16 +33,28 @@
 
 // dispatch is one try at a server. It owns the connection to it, from the dial on.
 type dispatch struct {
-	client  *client
-	server  *server
-	talk    protocol.Server
-	conn    gnet.Conn // nil while it is dialled
-	hang    context.CancelFunc
-	began   logic.Micros
-	until   logic.Micros
-	written bool // the line has been written whole
-	over    bool
-	ending  logic.Outcome // what the server's last word says of the end of a standing connection
+	client *client
+	server *server
+	talk   protocol.Server
+	conn   gnet.Conn // nil while it is dialled
+	hang   context.CancelFunc
+	began  logic.Micros
+	until  logic.Micros
+	over   bool
+	ending logic.Outcome // what the server's last word says of the end of a standing connection
+}
+
+// written tells whether the last byte of the line may have gone to the server. The kernel takes a line in parts, or later:
+// what it has not taken is still in the connection's buffer, and goes out on its own time.
+func (d *dispatch) written() bool { return d.conn != nil && d.conn.OutboundBuffered() == 0 }
+
+// unsent is the outcome of a dispatch that ends before the server has said anything: one whose line is not out whole has
+// never run, and never will, as drop and serverEnded see to.
+func (d *dispatch) unsent(otherwise logic.Outcome) logic.Outcome {
+	if d.written() {
+		return otherwise
+	}
+	return logic.NoConnection
 }
 
 // Send starts a dispatch.
@@ -61,12 +74,8 @@
 	p.room(2) // those in use for requests leave room for what is not had here
 	p.sockets += 2
 	p.at(d.until, func() {
-		switch {
-		case d.over || c.stands:
-		case d.written:
-			p.failed(d, logic.TimedOut)
-		default:
-			p.failed(d, logic.NoConnection)
+		if !d.over && !c.stands {
+			p.failed(d, d.unsent(logic.TimedOut))
 		}
 	})
 	go p.dial(ctx, d, d.server.endpoint, min(wait, p.dialing))
@@ -114,12 +123,12 @@
 		p.failed(d, logic.Moot) // nothing was written
 		return gnet.Close
 	}
-	d.conn = conn
-	_, err := conn.Write(d.client.talk.Line(d.until - p.now()))
-	d.written = err == nil && conn.OutboundBuffered() == 0
-	if d.written {
-		p.counts.Sends++
+	line := d.client.talk.Line(d.until - p.now())
+	if _, err := conn.Write(line); err != nil {
+		return gnet.None // none of it was taken, and the end of the connection has been told
 	}
+	d.conn = conn
+	p.counts.Sends++
 	return gnet.None
 }
 
@@ -188,10 +197,19 @@
 	d.hang()
 	d.talk.Drop()
 	if d.conn != nil {
-		p.shut(d.conn, false)
+		p.shut(d.conn, d.cutShort())
 	}
 }
 
+// cutShort sees to it that no more of the line goes out. Guards against a dispatch that runs after it was given up: its
+// client may be gone, or another be out. A half line is none, and what is still in the buffer would be written at the close.
+func (d *dispatch) cutShort() (cut bool) {
+	if cut = d.conn.OutboundBuffered() > 0; cut {
+		_ = syscall.Shutdown(d.conn.Fd(), syscall.SHUT_WR) // writes fail from now on; a failure says that they do
+	}
+	return cut
+}
+
 // serverEnded tells how a dispatch or a standing connection ended, and ends the client's side in the same way.
 func (p *Proxy) serverEnded(d *dispatch, reset bool) {
 	if d.over {
@@ -202,11 +220,13 @@
 	case c.stands:
 		p.unseat(c)
 		p.in.Ended(p.now(), c.id, d.ending, true)
-		p.shut(c.conn, reset)
-	case d.written:
-		p.failed(d, logic.Reset)
+		if reset {
+			p.shut(c.conn, true)
+		} else {
+			p.lastWord(c)
+		}
 	default:
-		p.failed(d, logic.NoConnection)
+		p.failed(d, d.unsent(logic.Reset))
 	}
 }
 
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -148,15 +148,16 @@
 			continue
 		}
 		c.at.Limit = now
-		d := c.out
+		d, ended := c.out, logic.Cancelled
 		if d != nil {
+			ended = d.unsent(logic.Cancelled)
 			p.drop(d)
 		}
 		switch {
 		case c.talk.Stands != "":
 			p.answer(c, telemetry.Errored, protocol.Failed)
 		case d != nil:
-			p.in.Ended(now, id, logic.Cancelled, false)
+			p.in.Ended(now, id, ended, false)
 		default:
 			p.in.Arrived(now, c.at)
 		}
--- /dev/null
+++ b/internal/proxy/narrow_test.go
@@ -0,0 +1,156 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/proxy"
+	"hatchproxy/lab/fleet"
+)
+
+// stuffed is a server whose connections take no more bytes when the proxy gets them, as the kernel's buffers are full of
+// probes: what the proxy writes waits in its own. The server reads when the test does.
+func stuffed(t *testing.T) (*stage, <-chan net.Conn) {
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	came := make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			came <- c
+		}
+	}()
+	s, _ := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
+		p.Tell()
+		p.Between(func(c net.Conn, err error) (net.Conn, error) {
+			if err != nil {
+				return c, err
+			}
+			_ = c.(*net.TCPConn).SetWriteBuffer(4096) // of a fixed size from now on
+			raw, err := c.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				return nil, err
+			}
+			// Byte by byte at the end: a socket that turns a large write away may take a small one. Full is one that takes
+			// nothing some times in a row, with what is under way on loopback delivered between.
+			for full := 0; full < 5; {
+				full++
+				_ = raw.Control(func(fd uintptr) {
+					for _, part := range []string{strings.Repeat("PING\r\n", 512), "P"} {
+						for {
+							if n, err := syscall.Write(int(fd), []byte(part)); n <= 0 || err != nil {
+								break
+							}
+							full = 0
+						}
+					}
+				})
+				time.Sleep(5 * time.Millisecond)
+			}
+			return c, nil
+		})
+	})
+	s.list.Set("s0", l.Addr().String(), "ready")
+	return s, came
+}
+
+// all reads what comes to a server until nothing has come for a while, or the end.
+func all(t *testing.T, c net.Conn) string {
+	var b strings.Builder
+	part := make([]byte, 64<<10)
+	for {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(400*time.Millisecond)))
+		n, err := c.Read(part)
+		b.Write(part[:n])
+		if err != nil {
+			return b.String()
+		}
+	}
+}
+
+// A client left while its line was still in the proxy's buffer, and the line went out as soon as there was room.
+func TestALineThatIsNotOutIsNotSentOnceItsClientIsGone(t *testing.T) {
+	s, came := stuffed(t)
+	c := s.call("OPEN 99 7 c=pay,d=1500\r\n")
+	server := <-came
+	defer server.Close()
+	s.shows("sends 1")
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool {
+		again := s.call("OPEN 99 7 c=pay,d=40\r\n")
+		defer again.Close()
+		line, err := again.in.ReadString('\n')
+		return err == nil && line == "BUSY\r\n"
+	}, 5*time.Second, 10*time.Millisecond, "its id is free again: the proxy knows that it is gone")
+	require.False(t, strings.Contains(all(t, server), "OPEN"), "its line came")
+}
+
+// A one-shot line was taken late, by a buffer that had been full, and its server broke off: it may have run.
+func TestALineThatWentOutLateMayHaveRun(t *testing.T) {
+	s, came := stuffed(t)
+	c := s.open("c=pay,d=1500")
+	server := <-came
+	s.shows("sends 1")
+	require.True(t, strings.Contains(all(t, server), "OPEN"), "its line came")
+	fleet.Reset(server)
+	c.hears("ERR")
+	select {
+	case <-came:
+		require.Fail(t, "it was sent again")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// A line that never went out has never run: trying again is harmless, and the rest of it is not sent.
+func TestALineThatNeverWentOutIsPushedBack(t *testing.T) {
+	s, came := stuffed(t)
+	c := s.open("c=pay,d=800")
+	server := <-came
+	defer server.Close()
+	c.hears("BUSY")
+	require.False(t, strings.Contains(all(t, server), "OPEN"), "its line came")
+}
+
+// The last word of a server reaches a client that goes on sending: a close over what it sent would be a reset.
+func TestTheLastWordOfAServerReachesAClientThatStillSends(t *testing.T) {
+	s, servers := play(t, 1024, "UP a")
+	for range 20 {
+		c := s.open("c=chat,d=1500")
+		c.hears("UP a")
+		at := servers[0].Last()
+		stop := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = c.Write([]byte("M\r\n"))
+				}
+			}
+		}()
+		_, err := io.WriteString(at, "BYE\r\n")
+		require.NoError(t, err)
+		require.NoError(t, at.(*net.TCPConn).CloseWrite())
+		text, err := io.ReadAll(bufio.NewReader(c))
+		close(stop)
+		require.NoError(t, err, "an end, not a reset")
+		require.Contains(t, string(text), "BYE\r\n")
+		_ = c.Close()
+	}
+}
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -501,7 +501,7 @@
 	c := &client{class: s.Class, stands: true, sent: s.Sent, came: now, passed: own}
 	c.talk.ID, c.talk.Key, c.talk.Group, c.talk.Product = s.ID, s.Key, s.Group, s.Class
 	c.figures = notes.Conn{Since: s.Since, Load: s.Load}
-	d := &dispatch{client: c, server: to, began: now, until: now, written: true, ending: logic.Reset, hang: func() {}}
+	d := &dispatch{client: c, server: to, began: now, until: now, ending: logic.Reset, hang: func() {}}
 	d.talk.Resume()
 	c.out = d
 	p.lastID++
