An endless answer of the list's service is bounded; nothing is sent for who has left

Read, then tried: an answer of the list's service that never ends was read up to 64 MiB, twice that in its buffer, where a proxy has 32 to 192 MB; now 4 MiB, some 15,000 servers, and the error says so (test seen red: 64 MiB read). Lists cut short or with bytes behind them, and indented ones, were sound; they have a test now.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -96,10 +96,13 @@
 	// leastHold is the least part of the longest wait that a watch is given. Watches that began with the same change, and
 	// have fallen silent together, end apart, and so do the calls that come in their place.
 	leastHold = 0.6
-	// largest is far above any list; a longer answer is garbage.
-	largest = 64 << 20
+	// largest is some 15,000 servers; a longer answer is garbage, and one that never ends must not fill the few tens of
+	// megabytes that a proxy has.
+	largest = 4 << 20
 )
 
+var errLargest = fmt.Errorf("the answer is longer than %d bytes", largest)
+
 // At names the service's address and how long a watch may wait.
 func At(address string, hold time.Duration) *Service {
 	return &Service{
@@ -200,10 +203,13 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, largest))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, largest+1))
 	if err != nil {
 		return 0, nil, err
 	}
+	if len(text) > largest {
+		return 0, nil, errLargest
+	}
 	if resp.StatusCode != http.StatusOK {
 		return 0, nil, fmt.Errorf("the service answers %s", resp.Status)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,8 +1,13 @@
 package discovery_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,6 +101,36 @@
 	require.Less(t, time.Since(began), time.Second)
 }
 
+// An answer that never ended was read up to 64 MiB, of which its buffer takes twice as much: a proxy has 32.
+func TestAnAnswerThatNeverEndsIsGivenUpSoon(t *testing.T) {
+	var wrote atomic.Int64
+	at := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		part := bytes.Repeat([]byte(" "), 1<<20)
+		for {
+			n, err := w.Write(part)
+			wrote.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	defer at.Close()
+	err := discovery.At(at.Listener.Addr().String(), time.Second).Follow(context.Background(), discovery.None, nil)
+	require.ErrorContains(t, err, "longer than")
+	require.Less(t, wrote.Load(), int64(24<<20), "it was read no further, but for what sockets hold")
+}
+
+func TestAListThatWasCutShortOrHasMoreBehindItTellsNothing(t *testing.T) {
+	const whole = `{"rev":2,"all":true,"targets":[{"uid":"s-1","endpoint":"h:1","state":"draining"}]}`
+	for _, text := range []string{whole[:len(whole)-1], whole + "x", whole + whole, whole[1:], ""} {
+		_, tell, err := discovery.Decode([]byte(text))
+		require.Error(t, err, text)
+		require.Nil(t, tell)
+	}
+	_, _, err := discovery.Decode([]byte("\n  " + strings.ReplaceAll(whole, ",", ",\n    ") + "\n"))
+	require.NoError(t, err, "it may come indented")
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"rev":43,"all":false,"targets":[{"uid":"s","state":"gone","boot_ms":1e300}]}`))
 	f.Add([]byte(`{"rev":null}`))
--- a/internal/proxy/narrow_test.go
+++ b/internal/proxy/narrow_test.go
@@ -91,12 +91,7 @@
 	defer server.Close()
 	s.shows("sends 1")
 	require.NoError(t, c.Close())
-	require.Eventually(t, func() bool {
-		again := s.call("OPEN 99 7 c=pay,d=40\r\n")
-		defer again.Close()
-		line, err := again.in.ReadString('\n')
-		return err == nil && line == "BUSY\r\n"
-	}, 5*time.Second, 10*time.Millisecond, "its id is free again: the proxy knows that it is gone")
+	s.gone("99")
 	require.False(t, strings.Contains(all(t, server), "OPEN"), "its line came")
 }
 
@@ -126,6 +121,49 @@
 	require.False(t, strings.Contains(all(t, server), "OPEN"), "its line came")
 }
 
+// gone waits until the proxy knows that a client has left: its id may come again.
+func (s *stage) gone(id string) {
+	s.Helper()
+	require.Eventually(s, func() bool {
+		again := s.call("OPEN " + id + " 7 c=chat,d=5\r\n")
+		defer again.Close()
+		line, err := again.in.ReadString('\n')
+		return err == nil && line != "ERR this id is open\r\n"
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+// Whatever a request waits for, nothing is sent for it once its client has left.
+func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
+	t.Run("it waits for a server on the list", func(t *testing.T) {
+		s, _ := playBook(t, unprobed, 1024, func(*proxy.Proxy) {})
+		require.NoError(t, s.call("OPEN 99 7 c=pay,d=1500\r\n").Close())
+		s.gone("99")
+		server, err := fleet.NewPuppet(nil)
+		require.NoError(t, err)
+		s.list.Set("s0", server.Address, "ready")
+		s.open("c=pay,d=1500").hears("UP puppet")
+		require.Len(t, server.Lines(), 1, "that of the one that is still there")
+	})
+	t.Run("it waits for a dial, and left with the same bytes", func(t *testing.T) {
+		dialled, release := make(chan struct{}, 100), make(chan struct{})
+		s, servers := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
+			p.Between(func(c net.Conn, err error) (net.Conn, error) {
+				dialled <- struct{}{}
+				<-release
+				return c, err
+			})
+		}, "UP a")
+		require.NoError(t, s.call("OPEN 99 7 c=pay,d=1500\r\n").Close())
+		<-dialled
+		s.gone("99")
+		close(release)
+		s.open("c=pay,d=1500").hears("UP a")
+		for _, line := range servers[0].Lines() {
+			require.NotContains(t, line, "OPEN 99 7 c=pay")
+		}
+	})
+}
+
 // The last word of a server reaches a client that goes on sending: a close over what it sent would be a reset.
 func TestTheLastWordOfAServerReachesAClientThatStillSends(t *testing.T) {
 	s, servers := play(t, 1024, "UP a")
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -221,8 +221,8 @@
 	b.follow.askAt = b.around(now, min(Second<<min(b.follow.misses-1, 4), max(tick, b.list.Within/3)))
 }
 
-// Outdated says whether the list is too old to send by: what it misses counts as told. Guards against sends to
-// who drains while the list's service is silent. It hurts while that lasts: all wait, or are pushed back.
+// Outdated says whether the list is too old to send by: what it misses counts as told. Guards against sends
+// to who drains while the list's service is silent. It hurts while that lasts: all wait, or are pushed back.
 func (b *Balancer) Outdated(is bool) { b.follow.outdated = is }
 
 func (b *Balancer) followList(now Micros) {
