What is dialled for when a proxy settles never ran; tests for signals, rests, second answers

settle() told a dispatch that was still dialled as cancelled, which may have run: a one-shot client heard ERR where BUSY is due. Guards that were sound and had no test: SIGTERM twice with SIGHUP between, a request on a resting connection of a proxy that leaves, a server that says two things, half a line without end, 10,000 bytes.

--- a/internal/proxy/hooks_test.go
+++ b/internal/proxy/hooks_test.go
@@ -10,3 +10,6 @@
 	dial := p.connect
 	p.connect = func(ctx context.Context, endpoint string) (net.Conn, error) { return through(dial(ctx, endpoint)) }
 }
+
+// Settle has a proxy answer at once what is pending, as it does shortly before it must be gone.
+func (p *Proxy) Settle() { p.post(p.settle) }
--- a/internal/proxy/narrow_test.go
+++ b/internal/proxy/narrow_test.go
@@ -201,3 +201,68 @@
 		_ = c.Close()
 	}
 }
+
+// What was still dialled for when the proxy had to settle was told as failed, though nothing had been sent.
+func TestWhatIsDialledForWhenTheProxySettlesNeverRan(t *testing.T) {
+	dialled, release := make(chan struct{}, 10), make(chan struct{})
+	s, servers := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
+		p.Between(func(c net.Conn, err error) (net.Conn, error) {
+			dialled <- struct{}{}
+			<-release
+			return c, err
+		})
+	}, "UP a")
+	c := s.open("c=pay,d=1500")
+	<-dialled
+	s.proxy.Settle()
+	c.hears("BUSY")
+	close(release)
+	require.Empty(t, servers[0].Lines())
+}
+
+// Signals come again, and a new configuration in the midst of leaving.
+func TestFurtherSignalsDoNotDisturbALeave(t *testing.T) {
+	s, _ := playBook(t, unprobed, 1024, func(*proxy.Proxy) {}, "UP a")
+	standing := s.open("c=chat,d=1500")
+	standing.hears("UP a")
+	began := time.Now()
+	s.leave <- syscall.SIGTERM
+	s.retune(unprobed, "chat", "pay")
+	s.leave <- syscall.SIGTERM
+	standing.hears("MOVE")
+	require.NoError(t, <-s.ended)
+	require.Less(t, time.Since(began), 2300*time.Millisecond)
+}
+
+// A client rested until the proxy left, and asked then: it hears at once that it may try elsewhere.
+func TestARequestOnARestingConnectionOfAProxyThatLeavesIsPushedBack(t *testing.T) {
+	s, servers := playBook(t, unprobed, 1024, func(*proxy.Proxy) {}, "UP a")
+	resting := s.call("PING\r\n")
+	resting.hears("PONG")
+	pending := s.open("c=pay,d=1500") // keeps it from ending at once
+	pending.hears("UP a")
+	s.leave <- syscall.SIGTERM
+	require.Eventually(t, func() bool { return s.answers() == "BUSY" }, 2*time.Second, 5*time.Millisecond, "it takes no more")
+	sent := len(servers[0].Lines())
+	resting.says("OPEN 98 7 c=pay,d=1500\r\n")
+	resting.hears("BUSY")
+	require.Len(t, servers[0].Lines(), sent)
+}
+
+// A server says two things at once, or the second when the dispatch is over: the client hears one.
+func TestAClientHearsOneAnswerWhateverAServerSays(t *testing.T) {
+	for answer, want := range map[string]string{
+		"BUSY\r\nUP b": "BUSY", "ERR\r\nUP b": "ERR", "ERR\r\nBUSY": "ERR", "MOVE\r\nUP b": "ERR", "UP\r\nUP b": "ERR",
+		strings.Repeat("x", 10_000): "ERR", "UP " + strings.Repeat("x", 10_000): "ERR",
+	} {
+		t.Run(answer[:4], func(t *testing.T) {
+			s, _ := playBook(t, unprobed, 1024, func(*proxy.Proxy) {}, answer)
+			c := s.open("c=pay,d=1500")
+			c.hears(want)
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+			more, err := io.ReadAll(c.in)
+			require.NoError(t, err)
+			require.Empty(t, string(more))
+		})
+	}
+}
