A line that is half through is waited for at the end, so that its client hears MOVE

The end now waits up to 0.1 s for such lines (SIGKILL comes 0.2 s after the end at the soonest). TestALineThatIsHalfThroughIsWaitedForAtTheEnd, red with no wait (the connection ends without a word).

--- a/internal/proxy/hooks_test.go
+++ b/internal/proxy/hooks_test.go
@@ -13,3 +13,13 @@
 
 // Settle has a proxy answer at once what is pending, as it does shortly before it must be gone.
 func (p *Proxy) Settle() { p.post(p.settle) }
+
+// Quit has a proxy end, and returns when it has begun to.
+func (p *Proxy) Quit() {
+	begun := make(chan struct{})
+	p.post(func() {
+		p.quit()
+		close(begun)
+	})
+	<-begun
+}
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -172,17 +172,27 @@
 	}
 }
 
-// quit ends the loop; Run returns.
-func (p *Proxy) quit() {
+// lastLines is how long the end waits for lines that are half through: SIGKILL comes 0.2 s after it at the soonest.
+const lastLines = 100 * millisecond
+
+// quit ends the loop, and Run returns, once those that stand have been told to come again.
+func (p *Proxy) quit() { p.quitBy(p.now() + lastLines) }
+
+// quitBy guards against a client that is cut off without a word, since its server was within a line just then.
+func (p *Proxy) quitBy(latest logic.Micros) {
 	if p.ctx.Err() != nil {
 		return
 	}
-	p.log.Info("gone", "attachments", len(p.clients))
-	for _, c := range p.clients {
-		if c.stands {
+	for _, c := range p.standing() {
+		if c.conn != nil && c.out.talk.Between() {
 			p.move(c, logic.Cancelled)
 		}
 	}
+	if len(p.standing()) > 0 && p.now() < latest {
+		p.after(10*millisecond, func() { p.quitBy(latest) })
+		return
+	}
+	p.log.Info("gone", "attachments", len(p.clients))
 	p.stop()
 	if p.heritage != nil {
 		p.heritage.close()
--- a/internal/proxy/narrow_test.go
+++ b/internal/proxy/narrow_test.go
@@ -266,3 +266,22 @@
 		})
 	}
 }
+
+// A proxy ended while a server was within a line: its client was cut off with half of it, and without MOVE.
+func TestALineThatIsHalfThroughIsWaitedForAtTheEnd(t *testing.T) {
+	s, servers := playBook(t, unprobed, 1024, func(*proxy.Proxy) {}, "UP a")
+	c := s.open("c=chat,d=1500")
+	c.hears("UP a")
+	server := servers[0].Last()
+	_, err := io.WriteString(server, "M ")
+	require.NoError(t, err)
+	half, err := c.in.Peek(2)
+	require.NoError(t, err)
+	require.Equal(t, "M ", string(half))
+	s.proxy.Quit()
+	_, err = io.WriteString(server, "1\r\n")
+	require.NoError(t, err)
+	c.hears("M 1")
+	c.hears("MOVE")
+	require.NoError(t, <-s.ended)
+}
