Who makes room for others hears its last word over bytes that have just come

room() writes BUSY and closes in the same turn, where gnet's own Close would wait; over bytes that had come in that turn the close is a reset (seen red: 'connection reset by peer' instead of an end), and the word may go with it. What has come is read first, 64 KiB at most, so a flood costs no more than four reads.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -102,6 +102,7 @@
 			_, _ = c.conn.Write(protocol.Refusal(0)) // a failure comes as the end of the connection
 		}
 		if isOpen(c.conn) {
+			emptyOut(c.conn)
 			// At once, where gnet's own Close would wait for the loop's next turn. What ends here has nothing to tell.
 			_ = p.loop.Close(c.conn)
 		}
@@ -109,6 +110,17 @@
 	return true
 }
 
+// emptyOut reads what has come on a connection that is about to be closed, and nobody will hear. Guards against a close over
+// unread bytes, which is a reset and may overtake the last word. A flood is not read to its end.
+func emptyOut(conn gnet.Conn) {
+	var unheard [16 << 10]byte
+	for range 4 {
+		if n, err := syscall.Read(conn.Fd(), unheard[:]); n <= 0 || err != nil {
+			return
+		}
+	}
+}
+
 var (
 	errSilent  = errors.New("nothing was asked")
 	errProduct = errors.New("the class is unknown")
--- a/internal/proxy/hooks_test.go
+++ b/internal/proxy/hooks_test.go
@@ -23,3 +23,11 @@
 	})
 	<-begun
 }
+
+// Evict has a proxy make room, with something done first in the same turn of its loop.
+func (p *Proxy) Evict(first func()) {
+	p.post(func() {
+		first()
+		p.room(p.most)
+	})
+}
--- a/internal/proxy/narrow_test.go
+++ b/internal/proxy/narrow_test.go
@@ -285,3 +285,14 @@
 	c.hears("MOVE")
 	require.NoError(t, <-s.ended)
 }
+
+// Room was made by closing a connection over bytes that had just come: a reset, and the word to try again went with it.
+func TestWhoMakesRoomHearsItsLastWordOverBytesThatHaveJustCome(t *testing.T) {
+	s, _ := playBook(t, unprobed, 1024, func(*proxy.Proxy) {})
+	c := s.call("PING\r\n")
+	c.hears("PONG")
+	s.proxy.Evict(func() { c.says("OPEN 97 7 c=pay,") })
+	text, err := io.ReadAll(c.in)
+	require.NoError(t, err, "an end, not a reset")
+	require.Equal(t, "BUSY\r\n", string(text))
+}
