--- a/internal/proxy/follow_test.go
+++ b/internal/proxy/follow_test.go
@@ -1,7 +1,6 @@
 package proxy_test
 
 import (
-	"net"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,14 +46,8 @@
 
 // A dispatch was dialled when its server began to drain, and the connection came up when that had long been told.
 func TestNothingIsWrittenToAServerThatDrainsWhenTheDialComesUp(t *testing.T) {
-	dialled, release := make(chan struct{}, 10), make(chan struct{})
-	s, servers := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
-		p.Between(func(c net.Conn, err error) (net.Conn, error) {
-			dialled <- struct{}{}
-			<-release
-			return c, err
-		})
-	}, "UP a")
+	hold, dialled, release := heldDials()
+	s, servers := playBook(t, unprobed, 1024, hold, "UP a")
 	first := s.open("c=chat,d=1500")
 	<-dialled
 	s.list.Set("s0", "", "draining")
--- a/internal/proxy/narrow_test.go
+++ b/internal/proxy/narrow_test.go
@@ -69,6 +69,18 @@
 	return s, came
 }
 
+// heldDials has what a proxy's dials bring wait until the test releases it; each is told as it comes up.
+func heldDials() (hold func(*proxy.Proxy), dialled chan struct{}, release chan struct{}) {
+	dialled, release = make(chan struct{}, 100), make(chan struct{})
+	return func(p *proxy.Proxy) {
+		p.Between(func(c net.Conn, err error) (net.Conn, error) {
+			dialled <- struct{}{}
+			<-release
+			return c, err
+		})
+	}, dialled, release
+}
+
 // all reads what comes to a server until nothing has come for a while, or the end.
 func all(t *testing.T, c net.Conn) string {
 	var b strings.Builder
@@ -145,14 +157,8 @@
 		require.Len(t, server.Lines(), 1, "that of the one that is still there")
 	})
 	t.Run("it waits for a dial", func(t *testing.T) {
-		dialled, release := make(chan struct{}, 100), make(chan struct{})
-		s, _ := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
-			p.Between(func(c net.Conn, err error) (net.Conn, error) {
-				dialled <- struct{}{}
-				<-release
-				return c, err
-			})
-		})
+		hold, dialled, release := heldDials()
+		s, _ := playBook(t, unprobed, 1024, hold)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		defer l.Close()
@@ -204,14 +210,8 @@
 
 // What was still dialled for when the proxy had to settle was told as failed, though nothing had been sent.
 func TestWhatIsDialledForWhenTheProxySettlesNeverRan(t *testing.T) {
-	dialled, release := make(chan struct{}, 10), make(chan struct{})
-	s, servers := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
-		p.Between(func(c net.Conn, err error) (net.Conn, error) {
-			dialled <- struct{}{}
-			<-release
-			return c, err
-		})
-	}, "UP a")
+	hold, dialled, release := heldDials()
+	s, servers := playBook(t, unprobed, 1024, hold, "UP a")
 	c := s.open("c=pay,d=1500")
 	<-dialled
 	s.proxy.Settle()
