--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -33,8 +33,8 @@
 	until  logic.Micros // what changes from now on counts as told then at the earliest
 }
 
-// Bounds says how old the list may be that is sent by, before the proxy runs or on its loop: the grace for servers that drain, the span
-// within which the list must be asked for, and whether an agent is told all at once.
+// Bounds says how old the list may be that is sent by, before the proxy runs or on its loop: the grace for servers that
+// drain, the span within which the list must be asked for, and whether an agent is told all at once.
 func (p *Proxy) Bounds(grace, within logic.Micros, pushed bool) {
 	p.age.grace, p.age.within, p.age.pushed = grace, within, pushed
 }
