--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -194,6 +194,8 @@
 		Came: now, Limit: now + max(wait-margin, wait/2),
 	}
 	p.clients[c.id] = c
+	p.trace("asked", c, "key", uint64(c.talk.Key), "class", c.class, "group", uint64(c.talk.Group), "back", c.talk.Back,
+		"wait_us", int64(wait))
 	if c.talk.Stands != "" {
 		p.restore(c)
 		return
@@ -235,6 +237,7 @@
 	if c.class != "" {
 		p.counts.Count(c.class, ending)
 	}
+	p.trace("answered", c, "ending", ending)
 	_, _ = c.conn.Write(line) // a failure comes as the end of the connection
 	p.release(c)
 	p.lastWord(c)
@@ -281,7 +284,7 @@
 		return
 	}
 	if c.stands {
-		p.unseat(c)
+		p.unseat(c, byClient)
 		p.in.ClientLeft(p.now(), c.id)
 		if reset {
 			p.shut(c.out.conn, true)
@@ -290,6 +293,7 @@
 		}
 		return
 	}
+	p.trace("answered", c, "ending", "left")
 	p.release(c)
 	p.abandon(c)
 }
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -69,6 +69,7 @@
 func (p *Proxy) dispatch(c *client, to logic.ServerID, wait logic.Micros) {
 	d := &dispatch{client: c, server: p.servers[to], began: p.now(), until: p.now() + wait, ending: logic.Reset}
 	c.out = d
+	p.trace("sent", c, "server", d.server.uid)
 	var ctx context.Context
 	ctx, d.hang = context.WithCancel(p.ctx)
 	p.room(2) // those in use for requests leave room for what is not had here
@@ -165,7 +166,7 @@
 func (p *Proxy) stood(d *dispatch, pass []byte) {
 	c, now := d.client, p.now()
 	c.stands, c.figures.Since = true, now
-	p.log.Debug("up", "server", d.server.endpoint, "took_us", int64(now-d.began))
+	p.trace("up", c, "server", d.server.uid, "took_us", int64(now-d.began))
 	d.hang()
 	d.server.standing++
 	p.counts.Count(c.class, telemetry.Answered)
@@ -180,7 +181,7 @@
 // failed ends a dispatch that never stood and asks what to do now.
 func (p *Proxy) failed(d *dispatch, o logic.Outcome) {
 	c := d.client
-	p.log.Debug("failed", "server", d.server.endpoint, "took_us", int64(p.now()-d.began), "outcome", o)
+	p.trace("failed", c, "server", d.server.uid, "took_us", int64(p.now()-d.began), "outcome", o)
 	p.drop(d)
 	if c.talk.Stands != "" {
 		p.after(restoring, func() { p.restore(c) })
@@ -218,7 +219,7 @@
 	c := d.client
 	switch {
 	case c.stands:
-		p.unseat(c)
+		p.unseat(c, byServer)
 		p.in.Ended(p.now(), c.id, d.ending, true)
 		if reset {
 			p.shut(c.conn, true)
@@ -232,8 +233,9 @@
 
 // unseat is where a standing connection gives back what it has, but for the two sockets, which the caller
 // shuts.
-func (p *Proxy) unseat(c *client) {
+func (p *Proxy) unseat(c *client, by string) {
 	d := c.out
+	p.trace("ended", c, "by", by)
 	d.over = true
 	d.server.standing--
 	d.server.figures.Left(&c.figures)
--- a/internal/proxy/hooks_test.go
+++ b/internal/proxy/hooks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 )
 
@@ -31,3 +32,6 @@
 		p.room(p.most)
 	})
 }
+
+// LogTo has a proxy write its log elsewhere, before it runs.
+func (p *Proxy) LogTo(log *slog.Logger) { p.log = log }
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -129,7 +129,7 @@
 		wait = (until - now) / logic.Micros(n)
 	}
 	for _, c := range standing[:(len(standing)+steps-1)/steps] {
-		p.move(c, logic.Cancelled)
+		p.move(c, logic.Cancelled, byLeaving)
 	}
 	p.after(wait, func() { p.sendAway(turn, until) })
 }
@@ -185,7 +185,7 @@
 	}
 	for _, c := range p.standing() {
 		if c.conn != nil && c.out.talk.Between() {
-			p.move(c, logic.Cancelled)
+			p.move(c, logic.Cancelled, byLeaving)
 		}
 	}
 	if len(p.standing()) > 0 && p.now() < latest {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -35,7 +35,7 @@
 	_, _ = d.conn.Write(b) // a failure comes as the end of the connection
 	if !d.over && d.conn.OutboundBuffered() > mostUnsent {
 		p.log.Warn("a server does not read", "server", d.server.endpoint)
-		p.move(c, logic.Reset)
+		p.move(c, logic.Reset, bySilence)
 	}
 }
 
@@ -63,11 +63,13 @@
 func (p *Proxy) figure(now logic.Micros, d *dispatch, x float64) {
 	c, s := d.client, d.server
 	if !p.delays {
+		p.trace("load", c, "level", x)
 		p.in.LoadChanged(now, c.id, x)
 		return
 	}
 	switch s.figures.Hear(now, &c.figures, s.standing, p.delaysHeard >= 0, x) {
 	case notes.Load:
+		p.trace("load", c, "level", x)
 		p.in.LoadChanged(now, c.id, x)
 	case notes.Both:
 		p.tellsDelays(1)
@@ -112,7 +114,7 @@
 	_, _ = c.conn.Write(b) // a failure comes as the end of the connection
 	if !c.over && c.conn.OutboundBuffered() > mostUnsent {
 		p.log.Warn("a client does not read")
-		p.unseat(c)
+		p.unseat(c, byClient)
 		p.in.ClientLeft(p.now(), c.id)
 		p.shut(c.out.conn, true)
 		p.shut(c.conn, true)
@@ -121,21 +123,27 @@
 
 // Move ends an open connection politely.
 func (p *Proxy) Move(id logic.AttachmentID) {
-	if c := p.clients[id]; c != nil && c.stands {
-		p.move(c, logic.Cancelled)
+	c := p.clients[id]
+	if c == nil || !c.stands {
+		return
+	}
+	by := byChoice
+	if seen, known := p.in.See(p.now(), c.out.server.id); known && seen.State != logic.Ready {
+		by = byDrain
 	}
+	p.move(c, logic.Cancelled, by)
 }
 
 // move tells a client to come again and closes both sides, once the line that is being passed on is whole.
-func (p *Proxy) move(c *client, o logic.Outcome) { p.moveBy(c, o, p.now()+second) }
+func (p *Proxy) move(c *client, o logic.Outcome, by string) { p.moveBy(c, o, by, p.now()+second) }
 
-func (p *Proxy) moveBy(c *client, o logic.Outcome, latest logic.Micros) {
+func (p *Proxy) moveBy(c *client, o logic.Outcome, by string, latest logic.Micros) {
 	d := c.out
 	if c.over {
 		return
 	}
 	if (!d.talk.Between() || c.conn == nil) && p.now() < latest {
-		p.after(10*millisecond, func() { p.moveBy(c, o, latest) })
+		p.after(10*millisecond, func() { p.moveBy(c, o, by, latest) })
 		return
 	}
 	if d.talk.Between() && c.conn != nil {
@@ -144,7 +152,7 @@
 			return
 		}
 	}
-	p.unseat(c)
+	p.unseat(c, by)
 	p.in.Ended(p.now(), c.id, o, true)
 	p.shut(d.conn, false)
 	p.lastWord(c)
@@ -157,6 +165,7 @@
 	now := p.now()
 	p.expire(now)
 	p.tellTurnedAway()
+	p.traceSight(now)
 	if p.refused > 0 {
 		p.log.Info("clients' bytes were refused", "count", p.refused, "last", p.why)
 		p.refused = 0
@@ -187,7 +196,7 @@
 		if !c.over {
 			p.log.Warn("a server brings nothing back", "server", c.out.server.endpoint)
 			// At once, also within a line: its rest is not coming.
-			p.moveBy(c, logic.Reset, now)
+			p.moveBy(c, logic.Reset, bySilence, now)
 		}
 	}
 }
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -342,7 +342,7 @@
 		p.heritage.ready = false // it hears nothing: its end will be noticed, and the rest are moved
 		return false
 	}
-	p.unseat(c)
+	p.unseat(c, byHeir)
 	p.in.ClientLeft(p.now(), c.id)
 	p.letGo(c.conn)
 	p.letGo(d.conn)
--- /dev/null
+++ b/internal/proxy/trace_test.go
@@ -0,0 +1,56 @@
+package proxy_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/proxy"
+)
+
+// kept is a log that may be read while it is written.
+type kept struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (k *kept) Write(b []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.text.Write(b)
+}
+
+// steps are what the log tells of attachments, in order.
+func (k *kept) steps() (steps []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for line := range strings.Lines(k.text.String()) {
+		for _, step := range []string{"asked", "sent", "failed", "up", "ended", "answered"} {
+			if strings.Contains(line, "msg="+step+" id=") {
+				steps = append(steps, step)
+			}
+		}
+	}
+	return steps
+}
+
+// Where a day's worth had gone could not be told from logs: they had set-ups and no ends, and no name that led from one
+// proxy to the next.
+func TestEachStepOfAClientIsInTheLogOfWhoAsksForIt(t *testing.T) {
+	log := &kept{}
+	s, _ := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
+		p.LogTo(slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	}, "BUSY", "UP b")
+	c := s.open("c=chat,d=1500")
+	c.hears("UP b")
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { steps := log.steps(); return len(steps) > 0 && steps[len(steps)-1] == "ended" },
+		5*time.Second, time.Millisecond)
+	steps := strings.Join(log.steps(), " ")
+	require.Contains(t, []string{"asked sent up ended", "asked sent failed sent up ended"}, steps)
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -952,3 +952,23 @@
 	}
 	require.Greater(t, most, 85, "as all know the same order of servers")
 }
+
+// A server piles up more than it can do and drops its newest clients; nothing else tells that its messages are late. Each
+// came again within a tenth of a second, was sent back, since that server is its group's home, and was dropped again.
+func TestWhomAServerDroppedIsNotSentBackToIt(t *testing.T) {
+	f := openSeeded(t, 1, 300, 8)
+	member := func(back bool) *logic.Attachment {
+		a := f.arrive(0)
+		a.Group, a.Back = 7, back
+		return a
+	}
+	first := member(false)
+	home := f.send(first).Server
+	f.Stands(f.now, first)
+	f.After(f.now, first, logic.Reset, true)
+	f.pass(2 * sec) // longer than one that fails is passed over
+	returned := member(true)
+	require.NotEqual(t, home, f.send(returned).Server)
+	f.pass(10 * sec)
+	require.Equal(t, home, f.send(member(true)).Server, "that is forgotten: the group's home is the best place again")
+}
