A failed call for the list excuses nothing; retries within 2 s

That excuse is gone: only a dial that is refused, while the list still counts, puts the term off to 6 s from then, as nobody could reach the service; logic's ListFailed asks again after 1 s, then 2 s (up to half as much more or less) where it doubled to a third of the span. Test seen red: TestACallThatIsTurnedAwayExcusesNothing (a server that drained was sent to for 8 s and on). TestWhileNobodyCanReachTheServiceItsListStands holds the price: it held before, too. Also: lists of instances, duties and barred holders may hold 4,096 where 1,000 were the most (test of 1,100 seen red), a list of 1,100 servers counts whole or not at all (held before), benchmarks of a pick and a tick.

--- a/agent/wanted/duties.go
+++ b/agent/wanted/duties.go
@@ -10,8 +10,8 @@
 
 const (
 	// mostDuties bounds the duties that are remembered, mostBarred who may hold none, mostRolls the rolling restarts.
-	mostDuties = 1000
-	mostBarred = 1000
+	mostDuties = 4096
+	mostBarred = 4096
 	mostRolls  = 20
 )
 
--- a/agent/wanted/wanted.go
+++ b/agent/wanted/wanted.go
@@ -77,7 +77,7 @@
 	// forgotten first.
 	mostOrders  = 4096
 	longestName = 200
-	mostNamed   = 1000
+	mostNamed   = 4096 // a fleet several times the largest that was played
 )
 
 // Check tells what is wrong with a command.
--- a/agent/wanted/wanted_test.go
+++ b/agent/wanted/wanted_test.go
@@ -89,3 +89,30 @@
 	require.NoError(t, err)
 	require.NotContains(t, s.Orders, "s7")
 }
+
+// A fleet of 350 processes and hundreds of servers was to be had, and 1,000 were the most that a command could name.
+func TestAFleetOfElevenHundredIsNamedAndHoldsDuties(t *testing.T) {
+	var s wanted.State
+	var names []string
+	number := uint64(0)
+	obey := func(c wanted.Command) {
+		number++
+		c.ID = fmt.Sprint("c", number)
+		require.NoError(t, wanted.Check(c))
+		_, err := s.Apply(number, c)
+		require.NoError(t, err)
+	}
+	for i := range 1100 {
+		names = append(names, fmt.Sprintf("edge-router-%04d", i))
+	}
+	obey(wanted.Command{Verb: wanted.Restart, Instances: names})
+	obey(wanted.Command{Verb: wanted.Roll, Instances: names, Share: 0.1})
+	for _, name := range names {
+		obey(wanted.Command{Verb: wanted.Drain, Server: name})
+		obey(wanted.Command{Verb: wanted.Grant, Duty: "duty-of-" + name, Holder: name})
+		obey(wanted.Command{Verb: wanted.Bar, Holder: name})
+	}
+	text, err := s.Save()
+	require.NoError(t, err)
+	require.Less(t, len(text), 4<<20, "a snapshot of it")
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -143,3 +143,31 @@
 		}
 	})
 }
+
+// The trial plays hundreds of servers. A list of eleven hundred is told whole, and one wrong entry has it tell nothing.
+func TestAListOfElevenHundredCountsWholeOrNotAtAll(t *testing.T) {
+	list := func(states ...string) []byte {
+		var b strings.Builder
+		b.WriteString(`{"rev":7,"all":true,"targets":[`)
+		for i, state := range states {
+			if i > 0 {
+				b.WriteString(",")
+			}
+			fmt.Fprintf(&b, `{"uid":"s-%08x","endpoint":"127.0.0.1:%d","az":"a","model":"m","pod_group":%d,"state":"%s","capacity_hint":1}`, i, 1024+i, i%300, state)
+		}
+		b.WriteString("]}")
+		return []byte(b.String())
+	}
+	states := make([]string, 1100)
+	for i := range states {
+		states[i] = "ready"
+	}
+	_, tell, err := discovery.Decode(list(states...))
+	require.NoError(t, err)
+	l := &told{}
+	tell(l)
+	require.Len(t, *l, 1102)
+	states[1050] = "odd"
+	_, _, err = discovery.Decode(list(states...))
+	require.ErrorContains(t, err, "odd")
+}
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"syscall"
 	"time"
 
 	"hatchproxy/internal/discovery"
@@ -17,8 +17,6 @@
 	waitTells    = 2 * second
 	// A new configuration's list counts as told so long after it; the protocol's, too.
 	newServiceTells = 4 * second
-	// A call that failed excuses for so many times the span within which the list must be asked for.
-	failureExcuses = 4
 	// agentRetry is the wait before an agent is called again that could not be: what it has when it is back counts at once,
 	// and calls to an agent of one's own are dear to nobody.
 	agentRetry = 100 * millisecond
@@ -95,12 +93,14 @@
 	}()
 }
 
-// unheard tells that the list cannot be had.
+// unheard tells that the list cannot be had. A call that failed excuses nothing: whatever came of it, a change counts as told
+// so long after the service had it and could be reached. A refusal, a reset or silence may be this proxy's alone.
 func (p *Proxy) unheard(why error) {
 	p.log.Warn("the server list cannot be had", "error", why)
 	p.ready = p.ready || len(p.servers) > 0
-	if timeout := net.Error(nil); !errors.As(why, &timeout) || !timeout.Timeout() {
-		p.fresh(max(p.age.until, p.now()+failureExcuses*p.age.within))
+	if now := p.now(); errors.Is(why, syscall.ECONNREFUSED) && now < p.age.until {
+		// Nobody could reach it just now: what it has to tell from here on counts so long after it can be reached again.
+		p.fresh(max(p.age.until, now+silenceTells))
 	}
 	if p.age.pushed {
 		p.after(agentRetry, func() {
--- a/internal/proxy/follow_test.go
+++ b/internal/proxy/follow_test.go
@@ -99,3 +99,39 @@
 	require.NoError(t, err)
 	require.Contains(t, []string{"BUSY\r\n", "UP b\r\n"}, line, "who waited is answered")
 }
+
+// The list's service turned calls away, one server began to drain meanwhile, and for 40 s more it was sent to: a failed call
+// was taken for leave to go by the list four times as long as it may be asked for.
+func TestACallThatIsTurnedAwayExcusesNothing(t *testing.T) {
+	const grace = 200 * logic.Millisecond
+	s, servers := playWith(t, 1024, func(p *proxy.Proxy) { p.Bounds(grace, 10*logic.Second, false) }, "UP a")
+	s.open("c=chat,d=1500").hears("UP a")
+	s.list.Break("down")
+	down := time.Now()
+	s.list.Set("s0", "", "draining")
+	require.Eventually(t, func() bool { return s.answers() == "BUSY" }, 8*time.Second, 20*time.Millisecond,
+		"what changed counts as told 6 s after the service had it, and it could be reached")
+	require.Greater(t, time.Since(down), 4*time.Second, "it goes by the list while it may")
+	sent := len(servers[0].Lines())
+	second, err := fleet.NewPuppet(func(string) string { return "UP b" })
+	require.NoError(t, err)
+	s.list.Set("s9", second.Address, "ready")
+	s.list.Break("")
+	back := time.Now()
+	require.Eventually(t, func() bool { return s.answers() == "UP b" }, 8*time.Second, 20*time.Millisecond)
+	require.Less(t, time.Since(back), 6*time.Second, "it asks again soon enough to hear what counts as told")
+	require.Len(t, servers[0].Lines(), sent, "nothing went by the old list")
+}
+
+// The list's service was down for longer than its words count. Nobody could reach it, so that nothing had changed that could
+// count as told, and a fleet that turns everybody away meanwhile serves nobody.
+func TestWhileNobodyCanReachTheServiceItsListStands(t *testing.T) {
+	s, _ := playWith(t, 1024, func(p *proxy.Proxy) { p.Bounds(200*logic.Millisecond, 10*logic.Second, false) }, "UP a")
+	s.open("c=chat,d=1500").hears("UP a")
+	s.list.Close()
+	asking := time.NewTicker(100 * time.Millisecond)
+	defer asking.Stop()
+	for down := time.Now(); time.Since(down) < 9*time.Second; <-asking.C {
+		require.Equal(t, "UP a", s.answers())
+	}
+}
--- a/logic/bounds_test.go
+++ b/logic/bounds_test.go
@@ -1,6 +1,7 @@
 package logic_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -42,3 +43,36 @@
 		})
 	}
 }
+
+// BenchmarkPick is the cost of a placement, by the length of the list.
+func BenchmarkPick(b *testing.B) {
+	for _, servers := range []int{100, 400, 1100} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			f := openSeeded(&testing.T{}, 1, 300, servers)
+			for b.Loop() {
+				a := f.arrive(0)
+				a.Group = 7
+				f.Where(f.now, a)
+				f.After(f.now, a, logic.Cancelled, true)
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the cost of the periodic work, four times a second.
+func BenchmarkTick(b *testing.B) {
+	for _, servers := range []int{100, 400, 1100} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			f := openSeeded(&testing.T{}, 1, 300, servers)
+			for range 10 {
+				a := f.arrive(0)
+				f.Where(f.now, a)
+				f.Stands(f.now, a)
+			}
+			for b.Loop() {
+				f.now += 250 * ms
+				f.Wait(f.now)
+			}
+		})
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -217,8 +217,9 @@
 func (b *Balancer) ListFailed(now Micros) {
 	b.follow.asking, b.follow.on = false, false
 	b.follow.misses++
-	// 1 s at first, doubling to at most a third of the span within which the list must be asked, or a tick.
-	b.follow.askAt = b.around(now, min(Second<<min(b.follow.misses-1, 4), max(tick, b.list.Within/3)))
+	// 1 s at first, then 2 s, at most a third of the span within which the list must be asked, or a tick: what
+	// changes counts as told 6 s after the service can be reached again, and the call has to wait its turn there.
+	b.follow.askAt = b.around(now, min(Second<<min(b.follow.misses-1, 1), max(tick, b.list.Within/3)))
 }
 
 // Outdated says whether the list is too old to send by: what it misses counts as told. Guards against sends
