--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -237,7 +237,7 @@
 	if c.class != "" {
 		p.counts.Count(c.class, ending)
 	}
-	p.trace("answered", c, "ending", ending)
+	p.trace("answered", c, "ending", ending.String())
 	_, _ = c.conn.Write(line) // a failure comes as the end of the connection
 	p.release(c)
 	p.lastWord(c)
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -219,7 +219,11 @@
 	c := d.client
 	switch {
 	case c.stands:
-		p.unseat(c, byServer)
+		by := byServer
+		if d.ending == logic.OK {
+			by = byService
+		}
+		p.unseat(c, by)
 		p.in.Ended(p.now(), c.id, d.ending, true)
 		if reset {
 			p.shut(c.conn, true)
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -20,6 +20,7 @@
 const (
 	byClient  = "client"  // the client has ended it
 	byServer  = "server"  // its server has, or was lost
+	byService = "served"  // its server has, and said that it was served to its end
 	byLeaving = "leaving" // moved, since this proxy leaves or evacuates
 	byDrain   = "drain"   // moved, since its server drains or is gone
 	byChoice  = "choice"  // moved off a late server, or home across zones
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -21,6 +21,8 @@
 
 var words = [endings]string{"answered", "deferred", "errored"}
 
+func (e Ending) String() string { return words[e] }
+
 // Counts run from the start of the process and never fall. A class that is no longer offered keeps its own.
 type Counts struct {
 	classes         map[string]*[endings]uint64
