Descriptors are kept free under the process's real limit, not only the configured one

Seen by a test with a real process under ulimit -n 96 and 256 configured: with the 97th descriptor the accept failed and the process ended (red, 'it serves on'). main.go took limits.sockets alone; the reserve of 32 was counted from there. Now the fewer of both counts, and a process that may open fewer than 64 says so at its start.

--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -156,7 +156,15 @@
 	if err != nil {
 		return err
 	}
-	cores, memory, sockets := paper.Limits()
+	cores, memory, _ := paper.Limits()
+	var open syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &open); err != nil {
+		return fmt.Errorf("how many descriptors may be open: %w", err)
+	}
+	sockets, err := paper.Sockets(open.Cur)
+	if err != nil {
+		return err
+	}
 	if memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		// The rest is for what the collector does not see: stacks of threads, the kernel's buffers, the binary.
 		debug.SetMemoryLimit(memory / 10 * 8)
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -257,6 +257,15 @@
 	return p.cores, p.memoryMB << 20, p.sockets
 }
 
+// Sockets are the descriptors that the proxy may use where its process is allowed so many: the fewer of both. Guards against
+// clients that fill what the process really has, so that no call for the list, and no operator, finds one.
+func (p *Paper) Sockets(allowed uint64) (int64, error) {
+	if allowed < leastSockets {
+		return 0, fmt.Errorf("the process may open %d descriptors, %d are the least", allowed, leastSockets)
+	}
+	return int64(min(uint64(p.sockets), allowed)), nil
+}
+
 // Known is the server list as this proxy last had it, in discovery's form; nil if there is none.
 func (p *Paper) Known() []byte { return p.known }
 
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -57,6 +57,13 @@
 	require.Equal(t, "127.2.0.9:1", list)
 	_, memory, sockets := p.Limits()
 	require.Equal(t, []int64{2048 << 20, 4096}, []int64{memory, sockets})
+	for allowed, most := range map[uint64]int64{1 << 62: 4096, 4096: 4096, 1000: 1000} {
+		sockets, err = p.Sockets(allowed)
+		require.NoError(t, err)
+		require.Equal(t, most, sockets)
+	}
+	_, err = p.Sockets(20)
+	require.ErrorContains(t, err, "20 descriptors")
 }
 
 func TestABadConfigurationIsNamedInPlainWords(t *testing.T) {
