The log says when clients are turned away since all sockets are in use

One line a second with how many, while it lasts. The test at the limit asks for it; it was not there before.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -55,6 +55,7 @@
 	p.sockets++
 	if !p.room(0) {
 		c.over = true
+		p.full++
 		return protocol.Refusal(0), gnet.Close
 	}
 	p.awaitAsking(c)
@@ -173,7 +174,11 @@
 		// Guards against one that comes with another's id: servers turn it away, and would be judged by that.
 		p.wrong(c, errTwice)
 		return
-	case p.refusing, !p.room(2): // a dispatch takes two descriptors for a moment
+	case p.refusing:
+		p.refuse(c)
+		return
+	case !p.room(2): // a dispatch takes two descriptors for a moment
+		p.full++
 		p.refuse(c)
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -61,6 +61,7 @@
 	silent   list.List       // clients that have asked nothing yet, oldest first
 	done     list.List       // clients that have had their last word, oldest first
 	refused  int             // since the last pulse
+	full     int             // turned away since then, as all descriptors were in use for requests
 	why      error           // of the last one
 	lastID   logic.AttachmentID
 	servers  map[logic.ServerID]*server
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -322,7 +322,8 @@
 }
 
 func TestNearTheLimitOnSocketsClientsArePushedBack(t *testing.T) {
-	s, _ := play(t, 64, "UP a") // 32 of them are the program's own
+	log := &kept{}
+	s, _ := playWith(t, 64, func(p *proxy.Proxy) { p.LogTo(slog.New(slog.NewTextHandler(log, nil))) }, "UP a") // 32 of them are the program's own
 	up, busy := 0, 0
 	for range 40 {
 		c := s.open("c=chat,d=1500")
@@ -336,6 +337,7 @@
 	}
 	require.Equal(t, 40, up+busy)
 	require.InDelta(t, 15, up, 2)
+	require.Eventually(t, func() bool { return log.has("all sockets are in use for requests") }, 3*time.Second, 10*time.Millisecond, "and the log says why")
 }
 
 func TestAServerThatFallsSilentLosesItsClientsInTime(t *testing.T) {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -170,6 +170,10 @@
 		p.log.Info("clients' bytes were refused", "count", p.refused, "last", p.why)
 		p.refused = 0
 	}
+	if p.full > 0 {
+		p.log.Warn("clients were turned away: all sockets are in use for requests", "count", p.full, "sockets", p.most)
+		p.full = 0
+	}
 	waiting := map[*server][]logic.Micros{}
 	var mute []*client
 	for _, c := range p.clients {
--- a/internal/proxy/trace_test.go
+++ b/internal/proxy/trace_test.go
@@ -25,6 +25,12 @@
 	return k.text.Write(b)
 }
 
+func (k *kept) has(words string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return strings.Contains(k.text.String(), words)
+}
+
 // steps are what the log tells of attachments, in order.
 func (k *kept) steps() (steps []string) {
 	k.mu.Lock()
