Drops are words of lateness only where no delays are told

Both sites tell delays, so that a reset there says nothing that is not told better, and slow or lossy ways reset many connections of servers that are well. Line at fault: logic.go After, which took every drop for a word.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -623,9 +623,9 @@
 	}
 	if stood && o == Reset {
 		b.placed -= a.units // what is dropped again is no sign of what a server can bear
-		// Guards against clients sent back to the full server that dropped them: where nothing else tells of late
-		// messages, that is the one word of them. It hurts where connections break and their server is well.
-		b.Delay(now, s.ID, max(s.Delay, b.quickest()))
+		if !b.delays {      // guards against clients sent back to the full server that dropped them, where none are told
+			b.Delay(now, s.ID, max(s.Delay, b.quickest())) // it hurts where ways break and servers are well
+		}
 	}
 	if !stood && !o.neverRan() && a.ran == nil {
 		a.ran, a.ranSince = s, a.sentAt
