--- a/logic/logic.go
+++ b/logic/logic.go
@@ -623,8 +623,8 @@
 	}
 	if stood && o == Reset {
 		b.placed -= a.units // what is dropped again is no sign of what a server can bear
-		if !b.delays {      // guards against clients sent back to the full server that dropped them, where none are told
-			b.Delay(now, s.ID, max(s.Delay, b.quickest())) // it hurts where ways break and servers are well
+		if !b.delays {
+			b.Delay(now, s.ID, max(s.Delay, b.quickest())) // against sending them back; hurts where ways break
 		}
 	}
 	if !stood && !o.neverRan() && a.ran == nil {
