System calls of a child fail on purpose; the incident reproduced by three failing tests

Cause, as far as it is known: one accept that fails with anything but EAGAIN, EINTR, ECONNRESET or ECONNABORTED makes gnet's loop return (eventloop_unix.go accept, poller_epoll_default.go Polling), closeConns closes every connection with no answer, and gnet.Run returns nil, so the process exits with status 0 (shown once: status 0, the pending request's EOF 0.7 ms after the failed accept). Ruled out: SIGTERM, a panic, a kill (docs/incidents/failing-calls.md).

lab/sysfault filters a child's system calls by seccomp user notification, since a Go program makes them without the C library; each listed error is shown to arrive.

--- /dev/null
+++ b/cmd/hatchproxy/faults_test.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"hatchproxy/lab/fleet"
+	"hatchproxy/lab/sysfault"
+)
+
+// program builds the proxy once for all tests that run it as a process of its own.
+var program = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "hatchproxy-test-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(folder, "hatchproxy")
+	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	return path, nil
+})
+
+// faultedProxy is a proxy's process whose system calls can be made to fail.
+type faultedProxy struct {
+	t       *testing.T
+	address string
+	list    *fleet.Hand
+	command *exec.Cmd
+	shim    *sysfault.Shim
+	ended   chan struct{}
+	log     string
+}
+
+// newFaultedProxy starts a proxy before a server that answers so; faults hold from the first system call on.
+func newFaultedProxy(t *testing.T, answer string, groups []sysfault.Call, faults ...sysfault.Fault) *faultedProxy {
+	path, err := program()
+	require.NoError(t, err)
+	list, err := fleet.ByHand()
+	require.NoError(t, err)
+	server, err := fleet.NewPuppet(func(string) string { return answer })
+	require.NoError(t, err)
+	list.Set("s1", server.Address, "ready")
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, free.Close())
+	folder := t.TempDir()
+	p := &faultedProxy{t: t, address: free.Addr().String(), list: list, ended: make(chan struct{}), log: filepath.Join(folder, "log")}
+	config := filepath.Join(folder, "config.json")
+	text := strings.Replace(paper, `"rev":900`, `"rev":0`, 1)
+	text = strings.Replace(text, `"hard-limit-ms":300.0`, `"hard-limit-ms":1800.0`, 1)
+	require.NoError(t, os.WriteFile(config, []byte(fmt.Sprintf(text, p.address, list.Address())), 0o600))
+	log, err := os.Create(p.log)
+	require.NoError(t, err)
+	defer log.Close()
+	p.command = exec.Command(path, "serve", "--config", config)
+	p.command.Stdout, p.command.Stderr = log, log
+	p.shim, err = sysfault.Start(p.command, 46, groups...)
+	require.NoError(t, err)
+	for _, f := range faults {
+		p.shim.Begin(f)
+	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		<-p.ended
+		<-p.shim.Ended()
+		if text, err := os.ReadFile(p.log); err == nil && t.Failed() {
+			t.Logf("the proxy's log:\n%s", text)
+		}
+	})
+	return p
+}
+
+// running fails the test where the process has ended.
+func (p *faultedProxy) running() {
+	p.t.Helper()
+	select {
+	case <-p.ended:
+		require.Fail(p.t, "the process has ended", "%s", p.command.ProcessState)
+	default:
+	}
+}
+
+// answers says a line on a new connection and returns the line that comes back.
+func (p *faultedProxy) answers(line string, within time.Duration) (string, error) {
+	c, err := net.DialTimeout("tcp", p.address, within)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(within))
+	if _, err := c.Write([]byte(line + "\r\n")); err != nil {
+		return "", err
+	}
+	return bufio.NewReader(c).ReadString('\n')
+}
+
+func (p *faultedProxy) ready() {
+	p.t.Helper()
+	require.Eventually(p.t, func() bool {
+		p.running()
+		line, err := p.answers("PING", time.Second)
+		return err == nil && line == "PONG\r\n"
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
+// The incident of 2026-12-02: one accept failed for a moment, the event loop ended, requests in hand were closed without
+// an answer, and the process left with exit code 0.
+func TestAFailingAcceptEndsNoRequest(t *testing.T) {
+	for _, errno := range append(sysfault.Usual[sysfault.Accept], unix.EPROTO, unix.ENETDOWN) {
+		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
+			t.Parallel()
+			p := newFaultedProxy(t, "NONE", []sysfault.Call{sysfault.Accept})
+			p.ready()
+			pending, err := net.Dial("tcp", p.address)
+			require.NoError(t, err)
+			defer pending.Close()
+			asked := time.Now()
+			_, err = pending.Write([]byte("OPEN 1 2 c=chat,d=1000\r\n"))
+			require.NoError(t, err)
+			p.ready() // its line has been read by now
+			p.shim.Begin(sysfault.Fault{Call: sysfault.Accept, Errors: []syscall.Errno{errno}, Chance: 1, Most: 3})
+			line, err := p.answers("PING", 2*time.Second)
+			p.running()
+			require.NoError(t, err)
+			require.Equal(t, "PONG\r\n", line, "who came in that moment is served")
+			require.Equal(t, 3, p.shim.Failed()[sysfault.Accept][unix.ErrnoName(errno)])
+			require.NoError(t, pending.SetReadDeadline(asked.Add(1100*time.Millisecond)))
+			line, err = bufio.NewReader(pending).ReadString('\n')
+			require.NoError(t, err)
+			require.Contains(t, []string{"BUSY\r\n", "ERR\r\n"}, line, "what was in hand gets its one answer")
+		})
+	}
+}
+
+// A process that cannot get or accept on a socket for a moment at its start serves a moment later. The language's runtime
+// itself ends where its own poller cannot be had, so that is not tried.
+func TestAStartOutlastsCallsThatFailForAMoment(t *testing.T) {
+	for group, most := range map[sysfault.Call]int{sysfault.Socket: 6, sysfault.Accept: 6} {
+		t.Run(string(group), func(t *testing.T) {
+			t.Parallel()
+			p := newFaultedProxy(t, "UP a", []sysfault.Call{group}, sysfault.Fault{Call: group, Chance: 1, Most: most})
+			p.ready()
+			require.Eventually(t, func() bool {
+				line, err := p.answers("OPEN 1 2 c=chat,d=1000", 2*time.Second)
+				return err == nil && line == "UP a\r\n"
+			}, 8*time.Second, 20*time.Millisecond)
+		})
+	}
+}
+
+// A socket that this machine cannot have for a moment says nothing of the server that it was for.
+func TestADialThatFailsForWantOfResourcesIsTriedAgainInTime(t *testing.T) {
+	for group, errnos := range map[sysfault.Call][]syscall.Errno{
+		sysfault.Socket:  sysfault.Usual[sysfault.Socket],
+		sysfault.Connect: {unix.EADDRNOTAVAIL},
+		sysfault.Copy:    sysfault.Usual[sysfault.Copy],
+		sysfault.Control: sysfault.Usual[sysfault.Control],
+	} {
+		t.Run(string(group), func(t *testing.T) {
+			t.Parallel()
+			p := newFaultedProxy(t, "UP a", []sysfault.Call{group})
+			p.ready()
+			for n := 1; n <= 4; n++ {
+				// More often than the three attempts that a request has.
+				p.shim.Begin(sysfault.Fault{Call: group, Errors: errnos, Chance: 1, Most: 4})
+				line, err := p.answers(fmt.Sprintf("OPEN %d 2 c=chat,d=1500", n), 2*time.Second)
+				require.NoError(t, err)
+				require.Equal(t, "UP a\r\n", line)
+			}
+		})
+	}
+}
