A failed system call no longer ends the loop, a listener, a start or an attempt

Cause: gnet's loop accepted by itself; any accept error but four ended it (eventloop_unix.go accept), closed every connection unanswered and let the process leave with 0. The class: a failure that passes is taken for the end of what it happened to. Same class: the first bind and poller (process did not start), dials (each local failure used up one of a request's attempts), registrations whose epoll_ctl fails (the library reports success, the dispatch hung to its limit, two descriptors stayed counted), the runtime's own accept (it closes a connection that its poller does not take).

Change: internal/transient tells what passes and paces retries; internal/listen accepts bare descriptors and never gives up; one acceptor and one way of registering for both kinds of start (Run and runInherited were two); a dial that fails for want of this machine's resources is made again within its time; a loop that ends by itself answers what is in hand and the process ends with an error; connections that break with EHOSTUNREACH and the like pass on as resets. Counters for each.

--- a/cmd/hatchproxy/faults_test.go
+++ b/cmd/hatchproxy/faults_test.go
@@ -136,13 +136,14 @@
 			require.NoError(t, err)
 			p.ready() // its line has been read by now
 			p.shim.Begin(sysfault.Fault{Call: sysfault.Accept, Errors: []syscall.Errno{errno}, Chance: 1, Most: 3})
-			line, err := p.answers("PING", 2*time.Second)
-			p.running()
-			require.NoError(t, err)
-			require.Equal(t, "PONG\r\n", line, "who came in that moment is served")
-			require.Equal(t, 3, p.shim.Failed()[sysfault.Accept][unix.ErrnoName(errno)])
+			for p.shim.Failed()[sysfault.Accept][unix.ErrnoName(errno)] < 3 {
+				line, err := p.answers("PING", 2*time.Second)
+				p.running()
+				require.NoError(t, err)
+				require.Equal(t, "PONG\r\n", line, "who came in that moment is served")
+			}
 			require.NoError(t, pending.SetReadDeadline(asked.Add(1100*time.Millisecond)))
-			line, err = bufio.NewReader(pending).ReadString('\n')
+			line, err := bufio.NewReader(pending).ReadString('\n')
 			require.NoError(t, err)
 			require.Contains(t, []string{"BUSY\r\n", "ERR\r\n"}, line, "what was in hand gets its one answer")
 		})
--- /dev/null
+++ b/internal/listen/files.go
@@ -0,0 +1,71 @@
+package listen
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Files is a listener that hands out bare descriptors. What the runtime does with a connection that it accepts may fail,
+// and it closes the connection then; a descriptor is kept until somebody has it.
+type Files struct {
+	socket *os.File
+	raw    syscall.RawConn
+	retries
+}
+
+// NewFiles takes a listener over. It fails where its descriptor cannot be duplicated just now; then the listener stays
+// the caller's.
+func NewFiles(l *net.TCPListener, log *slog.Logger) (*Files, error) {
+	socket, err := l.File()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	address := l.Addr()
+	_ = l.Close() // the duplicate listens on
+	return &Files{socket: socket, raw: raw, retries: retries{log: log, address: address}}, nil
+}
+
+// Accept waits for a connection and returns its descriptor, which does not block. It makes a failed call again, at a
+// growing interval, until the listener is closed or its deadline has come.
+func (f *Files) Accept() (*os.File, error) {
+	fd := -1
+	err := f.persist(func() error {
+		var failed error
+		err := f.raw.Read(func(listener uintptr) (done bool) {
+			fd, failed = acceptOne(int(listener))
+			return failed != unix.EAGAIN
+		})
+		return errors.Join(err, failed)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return os.NewFile(uintptr(fd), "client"), nil
+}
+
+func acceptOne(listener int) (fd int, err error) {
+	for {
+		fd, _, err = unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == unix.EINTR || err == unix.ECONNABORTED { // the latter is a client that has left
+			continue
+		}
+		return fd, err
+	}
+}
+
+// SetDeadline has Accept fail from a time on; the zero time takes that back.
+func (f *Files) SetDeadline(at time.Time) error { return f.socket.SetReadDeadline(at) }
+
+// Close ends the listener.
+func (f *Files) Close() error { return f.socket.Close() }
--- /dev/null
+++ b/internal/listen/listen_test.go
@@ -0,0 +1,65 @@
+package listen_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hatchproxy/internal/listen"
+)
+
+// failing is a listener whose first accepts fail.
+type failing struct {
+	net.Listener
+	errors []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if len(f.errors) > 0 {
+		err := f.errors[0]
+		f.errors = f.errors[1:]
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+	}
+	return f.Listener.Accept()
+}
+
+func TestAFailedAcceptIsMadeAgainAndCounted(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	errnos := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.ENETDOWN, syscall.EPERM}
+	kept := listen.Keep(&failing{l, errnos}, slog.New(slog.DiscardHandler))
+	client, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	conn, err := kept.Accept()
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	require.EqualValues(t, len(errnos), kept.Failures())
+	require.NoError(t, kept.Close())
+	_, err = kept.Accept()
+	require.ErrorIs(t, err, net.ErrClosed, "its owner ends it")
+}
+
+func TestAnAddressThatIsTakenForAMomentIsHadAMomentLater(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	time.AfterFunc(100*time.Millisecond, func() { _ = before.Close() })
+	l, err := listen.TCP(context.Background(), before.Addr().String(), slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+}
+
+func TestAWrongAddressIsToldAtOnce(t *testing.T) {
+	began := time.Now()
+	_, err := listen.TCP(context.Background(), "127.0.0.1:none", slog.New(slog.DiscardHandler))
+	require.Error(t, err)
+	require.False(t, errors.Is(err, context.DeadlineExceeded))
+	require.Less(t, time.Since(began), time.Second)
+}
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -53,6 +53,7 @@
 			held.Unhealthy++
 		}
 	}
+	p.counts.AcceptRetries = p.acceptor.listener.Failures()
 	p.figures.Store(p.counts.Copy(held))
 }
 
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
@@ -32,7 +33,7 @@
 	gated  bool           // the gate has let it in, and is to be told when it leaves
 	sent   []logic.Micros // when the messages came that have not been answered
 	came   logic.Micros   // when it connected
-	passed net.Conn       // its socket as another process passed it on, until the loop has it
+	passed *os.File       // its socket as another process passed it on, until the loop has it
 	early  []byte         // what came for it from its server, or from itself, before the loop had it
 
 	figures notes.Conn
@@ -47,19 +48,25 @@
 	margin = 20 * millisecond
 )
 
-// accepted takes a connection in. There is always a descriptor for one more: an accept that finds none would end
-// the loop.
-func (p *Proxy) accepted(conn gnet.Conn) ([]byte, gnet.Action) {
-	c := &client{conn: conn, came: p.now()}
-	conn.SetContext(c)
-	p.sockets++
-	if !p.room(0) {
-		c.over = true
+// clientOpened has a client's connection, which was accepted, or which the other process passed on.
+func (p *Proxy) clientOpened(c *client, conn gnet.Conn) gnet.Action {
+	c.conn = conn
+	if c.over {
+		return gnet.Close // its server has ended it meanwhile
+	}
+	early := c.early
+	c.early = nil
+	switch {
+	case c.stands:
+		p.serverSays(c.out, early)
+	case !p.room(0):
 		p.full++
-		return protocol.Refusal(0), gnet.Close
+		p.refuse(c)
+	default:
+		p.awaitAsking(c)
+		p.clientSays(c, early)
 	}
-	p.awaitAsking(c)
-	return nil, gnet.None
+	return gnet.None
 }
 
 func (p *Proxy) awaitAsking(c *client) {
@@ -103,7 +110,7 @@
 			_, _ = c.conn.Write(protocol.Refusal(0)) // a failure comes as the end of the connection
 		}
 		if isOpen(c.conn) {
-			emptyOut(c.conn)
+			emptyOut(c.conn.Fd())
 			// At once, where gnet's own Close would wait for the loop's next turn. What ends here has nothing to tell.
 			_ = p.loop.Close(c.conn)
 		}
@@ -113,10 +120,10 @@
 
 // emptyOut reads what has come on a connection that is about to be closed, and nobody will hear. Guards against a close over
 // unread bytes, which is a reset and may overtake the last word. A flood is not read to its end.
-func emptyOut(conn gnet.Conn) {
+func emptyOut(fd int) {
 	var unheard [16 << 10]byte
 	for range 4 {
-		if n, err := syscall.Read(conn.Fd(), unheard[:]); n <= 0 || err != nil {
+		if n, err := syscall.Read(fd, unheard[:]); n <= 0 || err != nil {
 			return
 		}
 	}
@@ -351,7 +358,7 @@
 // isOpen tells whether gnet still holds a connection: it forgets the context of one that it has closed.
 func isOpen(conn gnet.Conn) bool { return conn != nil && conn.Context() != nil }
 
+// isReset tells whether a connection broke: by a reset, or since nothing reaches the other side (ETIMEDOUT, EHOSTUNREACH).
 func isReset(err error) bool {
-	return err != nil && !errors.Is(err, io.EOF) &&
-		(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT))
+	return err != nil && !errors.Is(err, io.EOF)
 }
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"syscall"
 	"time"
 
@@ -11,6 +12,7 @@
 	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/internal/telemetry"
+	"hatchproxy/internal/transient"
 	"hatchproxy/logic"
 )
 
@@ -84,7 +86,9 @@
 
 // dial runs beside the loop and hands it the connection, or word that there is none.
 func (p *Proxy) dial(ctx context.Context, d *dispatch, endpoint string, wait logic.Micros) {
-	none := func(err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Microsecond)
+	defer cancel()
+	if err := p.reach(ctx, d, endpoint); err != nil {
 		p.post(func() {
 			p.sockets -= 2
 			if !d.over {
@@ -93,22 +97,27 @@
 			}
 		})
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Microsecond)
-	defer cancel()
-	conn, err := p.connect(ctx, endpoint)
-	if err != nil {
-		none(err)
-		return
-	}
-	result, err := p.loop.Enroll(gnet.NewContext(context.Background(), d), conn)
-	if err != nil {
-		_ = conn.Close()
-		none(err)
-		return
-	}
-	if r := <-result; r.Err != nil {
-		none(r.Err)
+}
+
+// reach dials a server and has the loop take the connection for a side. While this machine has no socket to spare, or the
+// loop's poller no room, it goes on trying until the context ends: that says nothing of the server, and uses up no attempt.
+func (p *Proxy) reach(ctx context.Context, side any, endpoint string) error {
+	wait := transient.Backoff{First: time.Millisecond, Longest: 50 * time.Millisecond}
+	passes := func(err error) bool {
+		local := transient.OfResources(err) || errors.Is(err, errNotRegistered)
+		if local && ctx.Err() == nil {
+			p.post(func() { p.counts.DialRetries++ })
+			p.log.Debug("a dial is made again", "server", endpoint, "error", err)
+		}
+		return local
 	}
+	return transient.Retry(ctx, wait, passes, func() error {
+		conn, err := p.connect(ctx, endpoint)
+		if err != nil {
+			return err
+		}
+		return p.register(side, conn)
+	})
 }
 
 // connected sends the line. A connection for what is over by now is closed.
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"maps"
 	"slices"
 
@@ -193,12 +192,8 @@
 		return
 	}
 	p.log.Info("gone", "attachments", len(p.clients))
-	p.stop()
 	if p.heritage != nil {
 		p.heritage.close()
-		return
 	}
-	// What has been written but not taken by the kernel gets a moment; Stop waits for the loop, so it must
-	// not run on it.
-	go func() { _ = p.engine.Stop(context.Background()) }()
+	p.finish()
 }
--- /dev/null
+++ b/internal/proxy/loop.go
@@ -0,0 +1,199 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"hatchproxy/internal/listen"
+	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/telemetry"
+	"hatchproxy/internal/transient"
+)
+
+// errLoopEnded is a loop that ended though nobody told it to: the process must not leave as if all were well.
+var errLoopEnded = errors.New("the event loop ended by itself")
+
+const (
+	// loopStarting is how long a poller is tried for at the start.
+	loopStarting = 5 * time.Second
+	// loopStopping bounds the wait for a loop that has been told to stop. All requests have their answers by then.
+	loopStopping = time.Second
+)
+
+// Run serves until it is told to leave, and returns nil if it left in good order. Whenever again says so, reread tells
+// what holds from now on. It fails where its address or a poller cannot be had, and where its loop ends by itself.
+func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (Renewal, error)) error {
+	defer p.stop()
+	p.reread = reread
+	go p.hearSignals(leave, again)
+	if err := p.openListener(); err != nil {
+		return err
+	}
+	defer p.acceptor.Close()
+	if p.heritage != nil {
+		p.findPredecessor()
+	}
+	loop, err := p.startLoop()
+	if err != nil {
+		return err
+	}
+	if p.heritage == nil {
+		p.acceptor.Resume()
+	} else {
+		p.hearPredecessor()
+	}
+	<-p.ended
+	p.acceptor.Close()
+	stopLoop(loop)
+	return p.fault
+}
+
+func (p *Proxy) hearSignals(leave, again <-chan os.Signal) {
+	<-p.started
+	for {
+		select {
+		case <-leave:
+			p.post(p.leave)
+		case <-again:
+			if err := p.Reload(p.ctx); err != nil {
+				p.log.Error("the new configuration is of no use, the old one is kept", "error", err)
+			}
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// openListener listens where the platform's socket was not inherited.
+func (p *Proxy) openListener() error {
+	if p.acceptor != nil {
+		return nil
+	}
+	l, err := listen.TCP(p.ctx, p.listen, p.log)
+	if err != nil {
+		return err
+	}
+	return p.acceptOn(l.Listener.(*net.TCPListener))
+}
+
+// acceptOn accepts on a listener from when it is resumed on.
+func (p *Proxy) acceptOn(l *net.TCPListener) error {
+	ctx, cancel := context.WithTimeout(p.ctx, loopStarting)
+	defer cancel()
+	wait := transient.Backoff{First: 2 * time.Millisecond, Longest: 100 * time.Millisecond}
+	return transient.Retry(ctx, wait, transient.OfResources, func() error {
+		files, err := listen.NewFiles(l, p.log)
+		if err == nil {
+			p.acceptor = newAcceptor(files, p.acceptClient)
+		}
+		return err
+	})
+}
+
+// anchor is the side of a connection to itself, by which the loop is had at the start, and its end is noticed.
+type anchor struct{ other net.Conn }
+
+// startLoop starts the one event loop. It accepts nothing itself: a failed accept would end it, and with it every
+// connection that it holds (docs/incidents/failing-calls.md).
+func (p *Proxy) startLoop() (loop *gnet.Client, err error) {
+	ctx, cancel := context.WithTimeout(p.ctx, loopStarting)
+	defer cancel()
+	wait := transient.Backoff{First: 2 * time.Millisecond, Longest: 100 * time.Millisecond}
+	err = transient.Retry(ctx, wait, transient.OfResources, func() error {
+		loop, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithReadBufferCap(readBuffer), gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(gnetLog{p.log}))
+		if err != nil {
+			return err
+		}
+		return loop.Start()
+	})
+	if err != nil {
+		return nil, err
+	}
+	err = transient.Retry(ctx, wait, transient.OfResources, func() error {
+		own, other, err := pair()
+		if err != nil {
+			return err
+		}
+		if _, err := loop.EnrollContext(own, &anchor{other}); err != nil {
+			_ = other.Close()
+			return err
+		}
+		return nil
+	})
+	if err != nil {
+		stopLoop(loop)
+		return nil, err
+	}
+	<-p.started
+	return loop, nil
+}
+
+const readBuffer, writeBuffer = 16 << 10, 16 << 10
+
+func stopLoop(loop *gnet.Client) {
+	stopped := make(chan struct{})
+	go func() {
+		_ = loop.Stop() // what it says was logged when the loop ended
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(loopStopping):
+	}
+}
+
+// pair makes two ends of one connection.
+func pair() (own, other net.Conn, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer l.Close()
+	if other, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		return nil, nil, err
+	}
+	if own, err = l.Accept(); err != nil {
+		_ = other.Close()
+		return nil, nil, err
+	}
+	return own, other, nil
+}
+
+// finish has Run return.
+func (p *Proxy) finish() {
+	p.stop()
+	p.finished.Do(func() { close(p.ended) })
+}
+
+// loopEnds is the loop's last turn where nobody told it to end: it is closing all connections, this one first. Each
+// request still gets its final answer, and the process ends with an error.
+func (p *Proxy) loopEnds() {
+	if p.ctx.Err() != nil {
+		return
+	}
+	p.log.Error("the event loop ends by itself", "attachments", len(p.clients))
+	p.fault = errLoopEnded
+	p.take(leaving)
+	p.settle()
+	for _, c := range p.standing() {
+		if c.conn != nil && c.out.talk.Between() {
+			_, _ = c.conn.Write(protocol.Leave) // a failure is the connection's own end
+		}
+		p.unseat(c, byLeaving)
+	}
+	p.refuseSilent()
+	p.finish()
+}
+
+// refuseSilent tells those that have asked nothing yet to try elsewhere: a request may be on its way from them.
+func (p *Proxy) refuseSilent() {
+	for first := p.silent.Front(); first != nil; first = p.silent.Front() {
+		p.answer(first.Value.(*client), telemetry.Deferred, protocol.Refusal(0))
+	}
+}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -46,16 +46,7 @@
 func (p *Proxy) dialProbe(pr *probe, endpoint string) {
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(p.dialing)*time.Microsecond)
 	defer cancel()
-	conn, err := p.connect(ctx, endpoint)
-	if err == nil {
-		var result <-chan gnet.RegisteredResult
-		if result, err = p.loop.Enroll(gnet.NewContext(context.Background(), pr), conn); err == nil {
-			err = (<-result).Err
-		} else {
-			_ = conn.Close()
-		}
-	}
-	if err != nil {
+	if err := p.reach(ctx, pr, endpoint); err != nil {
 		p.post(func() {
 			p.sockets -= 2
 			pr.server.probe = nil
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,11 +5,9 @@
 import (
 	"container/list"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,18 +27,20 @@
 // Proxy is one real proxy. Everything below the gap belongs to the loop.
 type Proxy struct {
 	gnet.BuiltinEventEngine
-	log     *slog.Logger
-	listen  string
-	service *discovery.Service
-	ctx     context.Context
-	stop    context.CancelFunc
-	engine  gnet.Engine
-	loop    gnet.EventLoop
-	fault   error         // why it could not go on
-	started chan struct{} // closed once the loop is known
-	begin   time.Time
-	epoch   logic.Micros
-	figures atomic.Pointer[telemetry.Figures] // the last copy of the counts
+	log      *slog.Logger
+	listen   string
+	service  *discovery.Service
+	ctx      context.Context
+	stop     context.CancelFunc
+	loop     gnet.EventLoop
+	fault    error         // why it could not go on
+	ended    chan struct{} // closed once it is to end
+	finished sync.Once     // guards ended
+	acceptor *acceptor     // of clients; nil until its address is had
+	started  chan struct{} // closed once the loop is known
+	begin    time.Time
+	epoch    logic.Micros
+	figures  atomic.Pointer[telemetry.Figures] // the last copy of the counts
 
 	rereading sync.Mutex // guards reread, which is called beside the loop
 
@@ -98,8 +98,8 @@
 	now := time.Now()
 	p := &Proxy{
 		log: log, listen: listen, service: service,
-		started: make(chan struct{}),
-		begin:   now, epoch: logic.Micros(now.UnixMicro()),
+		started: make(chan struct{}), ended: make(chan struct{}),
+		begin: now, epoch: logic.Micros(now.UnixMicro()),
 		zones: map[string]logic.ZoneID{}, models: map[string]logic.ModelID{},
 		dialing: dialing, late: late, most: int(sockets) - ownSockets,
 		clients: map[logic.AttachmentID]*client{}, ids: map[uint64]bool{}, servers: map[logic.ServerID]*server{}, version: discovery.None,
@@ -141,55 +141,6 @@
 // off, or have just been handed over, hold a moment longer than they are counted.
 const ownSockets = 32
 
-// Run serves until it is told to leave, and returns nil if it left in good order. Whenever again says so, reread
-// tells what holds from now on.
-func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (Renewal, error)) error {
-	defer p.stop()
-	p.reread = reread
-	go func() {
-		<-p.started
-		for {
-			select {
-			case <-leave:
-				p.post(p.leave)
-			case <-again:
-				if err := p.Reload(p.ctx); err != nil {
-					p.log.Error("the new configuration is of no use, the old one is kept", "error", err)
-				}
-			case <-p.ctx.Done():
-				return
-			}
-		}
-	}()
-	options := []gnet.Option{
-		// One loop that accepts for itself: with ReusePort gnet puts the listener into the loop, where
-		// otherwise a second one would hand sockets over.
-		gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-		gnet.WithReadBufferCap(16 << 10), gnet.WithWriteBufferCap(16 << 10),
-		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(gnetLog{p.log}),
-	}
-	if p.heritage != nil {
-		return errors.Join(p.runInherited(options...), p.fault)
-	}
-	go p.callSelf()
-	return errors.Join(gnet.Run(p, "tcp://"+p.listen, options...), p.fault)
-}
-
-// callSelf opens one connection to the own listener: gnet hands its loop out only with a connection.
-func (p *Proxy) callSelf() {
-	for range 100 {
-		c, err := net.DialTimeout("tcp", p.listen, time.Second)
-		if err == nil {
-			<-p.started
-			_ = c.Close()
-			return
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	p.log.Error("the listener never answered")
-	os.Exit(1)
-}
-
 func (p *Proxy) now() logic.Micros { return p.epoch + logic.Micros(time.Since(p.begin).Microseconds()) }
 
 // post has the loop run a call.
@@ -225,27 +176,23 @@
 	p.rest()
 }
 
-// OnBoot keeps the engine.
-func (p *Proxy) OnBoot(e gnet.Engine) gnet.Action {
-	p.engine = e
-	return gnet.None
-}
-
 // OnOpen takes a connection in: a client's, or one to a server that a dial has brought.
 func (p *Proxy) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if p.loop == nil {
-		p.start(c.EventLoop())
+	if r, is := c.Context().(*registration); is {
+		c.SetContext(r.side)
+		r.opened.Store(true)
 	}
 	defer p.rest()
 	switch side := c.Context().(type) {
+	case *anchor:
+		p.start(c.EventLoop())
 	case *client:
-		return nil, p.resumed(side, c)
+		p.sockets++
+		return nil, p.clientOpened(side, c)
 	case *dispatch:
 		return nil, p.connected(side, c)
 	case *probe:
 		p.probeConnected(side, c)
-	default:
-		return p.accepted(c)
 	}
 	return nil, gnet.None
 }
@@ -270,6 +217,9 @@
 
 // OnClose tells the other side.
 func (p *Proxy) OnClose(c gnet.Conn, err error) gnet.Action {
+	if err == nil && !isOver(c.Context()) {
+		p.loopEnds()
+	}
 	switch side := c.Context().(type) {
 	case *client:
 		p.sockets--
@@ -288,6 +238,19 @@
 	return gnet.None
 }
 
+// isOver tells whether a connection's side has ended what it had to do: only then does the proxy close it itself.
+func isOver(side any) bool {
+	switch side := side.(type) {
+	case *client:
+		return side.over
+	case *dispatch:
+		return side.over
+	case *anchor:
+		return false
+	}
+	return true
+}
+
 // listed passes the server list on to the decisions.
 type listed struct {
 	*Proxy
--- /dev/null
+++ b/internal/proxy/register.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/transient"
+)
+
+// errNotRegistered is a connection that the loop let go at once: its poller did not take it, which its library does not
+// report.
+var errNotRegistered = errors.New("the event loop did not take a connection")
+
+// registering is how long a connection that was accepted is tried to be registered; then its client is turned away.
+const registering = time.Second
+
+// registration is a connection's context until the loop has opened it.
+type registration struct {
+	side   any
+	opened atomic.Bool
+}
+
+// register has the loop take a connection, and waits until it has. The connection belongs to the loop in any case: it
+// is closed where that fails.
+func (p *Proxy) register(side any, conn net.Conn) error {
+	r := &registration{side: side}
+	result, err := p.loop.Enroll(gnet.NewContext(context.Background(), r), conn)
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	select {
+	case done := <-result:
+		if done.Err != nil {
+			return done.Err
+		}
+	case <-p.ctx.Done():
+		return p.ctx.Err()
+	}
+	if !r.opened.Load() {
+		return errNotRegistered
+	}
+	return nil
+}
+
+// registerFirmly does the same with a connection's descriptor, again while calls fail for a moment. One that cannot be
+// registered for a while is ended with a word. Guards against a client's connection that is closed without one, though
+// its request may have come. The file is closed in any case.
+func (p *Proxy) registerFirmly(side any, file *os.File, word []byte) error {
+	defer file.Close()
+	ctx, cancel := context.WithTimeout(p.ctx, registering)
+	defer cancel()
+	tries := 0
+	err := transient.Retry(ctx, transient.Backoff{First: time.Millisecond, Longest: 50 * time.Millisecond}, always, func() error {
+		if tries++; tries > 1 {
+			p.post(func() { p.counts.RegisterRetries++ })
+		}
+		conn, err := net.FileConn(file)
+		if err != nil {
+			return err
+		}
+		return p.register(side, conn)
+	})
+	if err != nil {
+		p.log.Warn("a connection is turned away, as it cannot be registered", "error", err, "tries", tries)
+		turnAway(file, word)
+	}
+	return err
+}
+
+func always(error) bool { return true }
+
+// turnAway says a last word on a connection that the loop never had. The file is closed by its owner.
+func turnAway(file *os.File, word []byte) {
+	raw, err := file.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_, _ = unix.Write(int(fd), word) // a failure is the client's, or the connection's end
+		_ = unix.Shutdown(int(fd), unix.SHUT_WR)
+		emptyOut(int(fd))
+	})
+}
+
+// acceptClient has the loop take a client's connection.
+func (p *Proxy) acceptClient(file *os.File) {
+	_ = p.registerFirmly(&client{came: p.now()}, file, protocol.Refusal(0)) // it was told
+}
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -1,14 +1,11 @@
 package proxy
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"os"
 	"syscall"
-	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
@@ -21,14 +18,11 @@
 
 // heritage is what a proxy has whose listening socket is the platform's: it is one of two processes now and then.
 type heritage struct {
-	listener  *net.TCPListener
-	folder    string // where the two find each other; "" for nowhere
-	accepting bool
-	seat      *succession.Seat
-	before    *succession.Channel // to the process that ran already; nil if there is none
-	heir      *succession.Channel // to the one that has come to take this one's place
-	ready     bool                // the heir can serve
-	halt      chan struct{}
+	folder string // where the two find each other; "" for nowhere
+	seat   *succession.Seat
+	before *succession.Channel // to the process that ran already; nil if there is none
+	heir   *succession.Channel // to the one that has come to take this one's place
+	ready  bool                // the heir can serve
 }
 
 // Inherit has the proxy accept on a listening socket that it was given, and pass on what it holds to the next
@@ -48,79 +42,18 @@
 		_ = l.Close()
 		return fmt.Errorf("descriptor %d listens for %s, not for TCP", fd, l.Addr().Network())
 	}
-	p.heritage = &heritage{listener: tcp, folder: folder, halt: make(chan struct{})}
-	return nil
-}
-
-// runInherited runs the loop without a listener of its own.
-func (p *Proxy) runInherited(options ...gnet.Option) error {
-	p.findPredecessor()
-	client, err := gnet.NewClient(p, options...)
-	if err != nil {
-		return err
-	}
-	if err := client.Start(); err != nil {
-		return err
-	}
-	defer func() { _ = client.Stop() }()
-	own, other, err := pair()
-	if err != nil {
-		return err
-	}
-	// The loop is had with a connection only.
-	if _, err := client.Enroll(own); err != nil {
-		return err
-	}
-	<-p.started
-	_ = other.Close()
-	p.hearPredecessor()
-	<-p.heritage.halt
-	return nil
-}
-
-// pair makes two ends of one connection.
-func pair() (own, other net.Conn, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, nil, err
-	}
-	defer l.Close()
-	if other, err = net.Dial("tcp", l.Addr().String()); err != nil {
-		return nil, nil, err
-	}
-	if own, err = l.Accept(); err != nil {
-		_ = other.Close()
-		return nil, nil, err
-	}
-	return own, other, nil
+	p.heritage = &heritage{folder: folder}
+	return p.acceptOn(tcp)
 }
 
 // accept takes connections in until it is told to stop; what comes later waits for whoever accepts next.
 func (p *Proxy) accept() {
 	h := p.heritage
 	// Guards against two at the door: each answer of the list comes here.
-	if h == nil || h.accepting || h.ready || p.duty == leaving || !p.ready {
+	if h == nil || !p.acceptor.Paused() || h.ready || p.duty == leaving || !p.ready {
 		return
 	}
-	h.accepting = true
-	_ = h.listener.SetDeadline(time.Time{})
-	go func() {
-		for {
-			conn, err := h.listener.Accept()
-			switch {
-			case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
-				return
-			case err != nil: // descriptors are short for a moment, or the client has left
-				p.log.Warn("accept", "error", err)
-				time.Sleep(10 * time.Millisecond)
-				continue
-			}
-			if _, err := p.loop.Enroll(context.Background(), conn); err != nil {
-				_ = conn.Close()
-				return
-			}
-		}
-	}()
+	p.acceptor.Resume()
 	p.takeSeat()
 	if h.before != nil {
 		p.sayNext(h.before, packet{Ready: true})
@@ -142,15 +75,13 @@
 }
 
 func (p *Proxy) stopAccepting() {
-	if h := p.heritage; h != nil && h.accepting {
-		h.accepting = false
-		_ = h.listener.SetDeadline(time.Unix(1, 0))
+	if p.heritage != nil {
+		p.acceptor.Pause()
 	}
 }
 
-// close gives back all that belongs to the succession, and has Run end.
+// close gives back all that belongs to the succession.
 func (h *heritage) close() {
-	_ = h.listener.Close()
 	if h.seat != nil {
 		h.seat.Leave()
 	}
@@ -159,7 +90,6 @@
 			c.Close()
 		}
 	}
-	close(h.halt)
 }
 
 // packet is what the two processes tell each other, one thing in each.
@@ -277,7 +207,7 @@
 	old := h.seat // the name may be that one's
 	h.seat = nil
 	p.accept()
-	if h.accepting {
+	if !p.acceptor.Paused() {
 		// Guards against an heir that ends before it serves: the door was never left, but the seat was, and the
 		// process after it would find nobody. The new seat comes before the old one goes, so that there always is one.
 		p.takeSeat()
@@ -402,27 +332,13 @@
 			if err := json.Unmarshal(text, &said); err != nil {
 				p.log.Warn("what the other process says means nothing", "error", err)
 			}
-			conns := connections(files)
-			p.post(func() { p.takeOver(said, conns) })
+			p.post(func() { p.takeOver(said, files) })
 		}
 	}()
 }
 
-// connections turns descriptors into connections; nil where one is none.
-func connections(files []*os.File) (conns []net.Conn) {
-	for _, f := range files {
-		conn, err := net.FileConn(f)
-		if err != nil {
-			conn = nil
-		}
-		conns = append(conns, conn)
-		_ = f.Close()
-	}
-	return conns
-}
-
 // takeOver takes a connection in that the other process has let go.
-func (p *Proxy) takeOver(said packet, conns []net.Conn) {
+func (p *Proxy) takeOver(said packet, conns []*os.File) {
 	switch {
 	case said.Memory != nil:
 		p.in.Remember(*said.Memory)
@@ -430,54 +346,35 @@
 		p.evacuate()
 	case said.Rejoined:
 		p.rejoin()
-	case said.Unasked != nil && len(conns) == 1 && conns[0] != nil:
-		p.enroll(&client{came: said.Unasked.Came, early: said.Unasked.Said}, conns[0])
-	case said.Stands != nil && len(conns) == 2 && conns[0] != nil && conns[1] != nil:
+	case said.Unasked != nil && len(conns) == 1:
+		p.enroll(&client{came: said.Unasked.Came, early: said.Unasked.Said}, conns[0], protocol.Refusal(0))
+	case said.Stands != nil && len(conns) == 2:
 		p.seat(said.Stands, conns[0], conns[1])
 	default:
 		for _, conn := range conns {
-			if conn != nil {
-				_ = conn.Close()
-			}
+			_ = conn.Close()
 		}
 	}
 }
 
-// enroll has the loop take a connection whose side is known already.
-func (p *Proxy) enroll(side any, conn net.Conn) {
-	p.sockets++
-	result, err := p.loop.Enroll(gnet.NewContext(context.Background(), side), conn)
-	if err != nil {
-		p.sockets--
-		_ = conn.Close()
-		return
-	}
+// enroll has the loop take a connection whose side is known already. One that it cannot take is ended with a word, which
+// only a client hears.
+func (p *Proxy) enroll(side any, conn *os.File, word []byte) {
 	go func() {
-		if r := <-result; r.Err != nil {
-			p.log.Warn("a connection cannot be taken over", "error", r.Err)
-			p.post(func() { p.sockets-- })
+		if err := p.registerFirmly(side, conn, word); err != nil && p.ctx.Err() == nil {
+			p.post(func() { p.notTakenOver(side) })
 		}
 	}()
 }
 
-// resumed has a client's side of what the other process passed on.
-func (p *Proxy) resumed(c *client, conn gnet.Conn) gnet.Action {
-	c.conn = conn
-	if c.over {
-		return gnet.Close // its server has ended it meanwhile
+// notTakenOver ends the other side of a connection that the loop could not take.
+func (p *Proxy) notTakenOver(side any) {
+	switch side := side.(type) {
+	case *client:
+		p.clientEnded(side, false)
+	case *dispatch:
+		p.serverEnded(side, false)
 	}
-	early := c.early
-	c.early = nil
-	switch {
-	case c.stands:
-		p.serverSays(c.out, early)
-	case !p.room(0):
-		p.refuse(c)
-	default:
-		p.awaitAsking(c)
-		p.clientSays(c, early)
-	}
-	return gnet.None
 }
 
 // serverResumed has a server's side; the client's comes next, so that there is somebody to send its bytes to.
@@ -486,18 +383,19 @@
 		_ = c.passed.Close()
 		return gnet.Close
 	}
+	p.sockets++
 	c.out.conn = conn
-	p.enroll(c, c.passed)
+	p.enroll(c, c.passed, protocol.Leave)
 	c.passed = nil
 	return gnet.None
 }
 
 // seat takes an open connection in, its server's side first.
-func (p *Proxy) seat(s *stands, own, servers net.Conn) {
+func (p *Proxy) seat(s *stands, own, servers *os.File) {
 	to := p.servers[discovery.ID(s.Server)]
 	if to == nil || p.ids[s.ID] {
 		// Its server is none of the list's: the client comes again, and is told so.
-		_, _ = own.Write(protocol.Leave)
+		turnAway(own, protocol.Leave)
 		_ = own.Close()
 		_ = servers.Close()
 		return
@@ -519,5 +417,5 @@
 	if s.Load > 0 {
 		p.in.LoadChanged(now, c.id, s.Load)
 	}
-	p.enroll(d, servers)
+	p.enroll(d, servers, nil)
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -28,8 +29,36 @@
 	classes         map[string]*[endings]uint64
 	Sends           uint64 // lines written whole to servers
 	Loaded, Invalid uint64 // configurations that were taken, and turned down
+	AcceptRetries   uint64 // accepts that failed for a moment
+	RegisterRetries uint64 // connections that the event loop did not take at first
+	DialRetries     uint64 // dials made again for want of this machine's own resources
+	ReadRetries     uint64 // configurations that could not be read for a moment
+
+	refused, retried, closed, violations reasons
+}
+
+// reasons counts by a reason.
+type reasons map[string]uint64
+
+func (r *reasons) count(why string) {
+	if *r == nil {
+		*r = reasons{}
+	}
+	(*r)[why]++
 }
 
+// Refused counts a request that was answered with no effect promised, by why.
+func (c *Counts) Refused(why string) { c.refused.count(why) }
+
+// Retried counts an attempt that another followed, by how it ended.
+func (c *Counts) Retried(outcome string) { c.retried.count(outcome) }
+
+// Closed counts a standing connection that ended, by who ended it.
+func (c *Counts) Closed(by string) { c.closed.count(by) }
+
+// Violated counts an action that a rule forbids, by the rule: each is a fault of this program.
+func (c *Counts) Violated(rule string) { c.violations.count(rule) }
+
 // Offer has a class told of before anybody came with it.
 func (c *Counts) Offer(class string) *[endings]uint64 {
 	if c.classes == nil {
@@ -64,6 +93,9 @@
 // Copy takes the figures as they are.
 func (c *Counts) Copy(now Now) *Figures {
 	f := &Figures{Now: now, counts: *c, names: make([]string, 0, len(c.classes))}
+	for _, r := range []*reasons{&f.counts.refused, &f.counts.retried, &f.counts.closed, &f.counts.violations} {
+		*r = maps.Clone(*r)
+	}
 	f.counts.classes = make(map[string]*[endings]uint64, len(c.classes))
 	for name, row := range c.classes {
 		copied := *row
@@ -96,6 +128,20 @@
 	one("sends", "counter", f.counts.Sends)
 	one("conf_loaded", "counter", f.counts.Loaded)
 	one("conf_invalid", "counter", f.counts.Invalid)
+	one("accept_retries", "counter", f.counts.AcceptRetries)
+	one("register_retries", "counter", f.counts.RegisterRetries)
+	one("dial_retries", "counter", f.counts.DialRetries)
+	one("conf_read_retries", "counter", f.counts.ReadRetries)
+	by := func(name, key string, counted reasons) {
+		kind(name, "counter")
+		for _, why := range slices.Sorted(maps.Keys(counted)) {
+			fmt.Fprintf(&b, "%s%s{%s=\"%s\"} %d\n", prefix, name, key, label.Replace(why), counted[why])
+		}
+	}
+	by("refused", "reason", f.counts.refused)
+	by("retried", "outcome", f.counts.retried)
+	by("closed", "by", f.counts.closed)
+	by("violations", "rule", f.counts.violations)
 	one("current", "gauge", uint64(f.Current))
 	one("cluster_size", "gauge", uint64(f.Listed))
 	one("cluster_unhealthy", "gauge", uint64(f.Unhealthy))
--- /dev/null
+++ b/internal/transient/transient.go
@@ -0,0 +1,75 @@
+// Package transient tells failures of system calls that pass by themselves from those that last, and paces retries. A
+// failure that passes says nothing of a peer, and never ends a listener, a loop or the process.
+package transient
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// ofResources are the errors by which the kernel says that it is short of something just now.
+var ofResources = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.EADDRNOTAVAIL,
+	syscall.EAGAIN, syscall.EINTR}
+
+// OfResources tells whether a call failed since this machine was short of a resource. Source: accept(2), socket(2),
+// connect(2), epoll_ctl(2), fcntl(2).
+func OfResources(err error) bool { return isAny(err, ofResources) }
+
+// ofFiles are those with which reading a file fails for a moment.
+var ofFiles = []error{syscall.EIO, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EAGAIN, syscall.ESTALE}
+
+// OfFiles tells whether a file could not be read for a reason that is not the file's own. Source: open(2), read(2).
+func OfFiles(err error) bool { return isAny(err, ofFiles) }
+
+func isAny(err error, known []error) bool {
+	for _, errno := range known {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsClosed tells whether a listener or connection was closed, or its deadline set, by its owner: the only ends of a
+// listener.
+func IsClosed(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Backoff is the wait between retries: First, then twice as long each time, Longest at most. The zero value of its other
+// fields is a backoff at its start.
+type Backoff struct {
+	First, Longest time.Duration
+	next           time.Duration
+}
+
+// Wait waits for the next retry. It returns the context's error where that ends first.
+func (b *Backoff) Wait(ctx context.Context) error {
+	b.next = min(max(2*b.next, b.First), b.Longest)
+	timer := time.NewTimer(b.next)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Reset puts a backoff back to its start.
+func (b *Backoff) Reset() { b.next = 0 }
+
+// Retry makes a call again while it fails with an error that passes, until the context ends; it returns the call's own
+// last error.
+func Retry(ctx context.Context, backoff Backoff, passes func(error) bool, call func() error) error {
+	for {
+		err := call()
+		if err == nil || !passes(err) || backoff.Wait(ctx) != nil {
+			return err
+		}
+	}
+}
