Three more failures of the incident's class, as failing tests

Seen red: a configuration that cannot be read for a moment at SIGHUP is turned down; a log whose reader has gone ends the process by SIGPIPE, one that nobody reads stops the loop; the operators' address ends at one accept with ENOBUFS or ENOMEM.

--- a/cmd/hatchproxy/faults_test.go
+++ b/cmd/hatchproxy/faults_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -38,38 +39,57 @@
 	t       *testing.T
 	address string
 	list    *fleet.Hand
+	config  string
 	command *exec.Cmd
 	shim    *sysfault.Shim
 	ended   chan struct{}
 	log     string
 }
 
+// launch is how a proxy's process is started.
+type launch struct {
+	answer string // of the server
+	groups []sysfault.Call
+	faults []sysfault.Fault // that hold from the first system call on
+	admin  string           // the operators' address; none if empty
+	stderr *os.File         // in place of a file
+}
+
 // newFaultedProxy starts a proxy before a server that answers so; faults hold from the first system call on.
 func newFaultedProxy(t *testing.T, answer string, groups []sysfault.Call, faults ...sysfault.Fault) *faultedProxy {
+	return launch{answer: answer, groups: groups, faults: faults}.start(t)
+}
+
+func freeAddress(t *testing.T) string {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, free.Close())
+	return free.Addr().String()
+}
+
+func (l launch) start(t *testing.T) *faultedProxy {
 	path, err := program()
 	require.NoError(t, err)
 	list, err := fleet.ByHand()
 	require.NoError(t, err)
-	server, err := fleet.NewPuppet(func(string) string { return answer })
+	server, err := fleet.NewPuppet(func(string) string { return l.answer })
 	require.NoError(t, err)
 	list.Set("s1", server.Address, "ready")
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, free.Close())
 	folder := t.TempDir()
-	p := &faultedProxy{t: t, address: free.Addr().String(), list: list, ended: make(chan struct{}), log: filepath.Join(folder, "log")}
-	config := filepath.Join(folder, "config.json")
-	text := strings.Replace(paper, `"rev":900`, `"rev":0`, 1)
-	text = strings.Replace(text, `"hard-limit-ms":300.0`, `"hard-limit-ms":1800.0`, 1)
-	require.NoError(t, os.WriteFile(config, []byte(fmt.Sprintf(text, p.address, list.Address())), 0o600))
+	p := &faultedProxy{t: t, address: freeAddress(t), list: list, ended: make(chan struct{}), log: filepath.Join(folder, "log"),
+		config: filepath.Join(folder, "config.json")}
+	p.configure(list, l.admin)
 	log, err := os.Create(p.log)
 	require.NoError(t, err)
 	defer log.Close()
-	p.command = exec.Command(path, "serve", "--config", config)
+	p.command = exec.Command(path, "serve", "--config", p.config)
 	p.command.Stdout, p.command.Stderr = log, log
-	p.shim, err = sysfault.Start(p.command, 46, groups...)
+	if l.stderr != nil {
+		p.command.Stderr = l.stderr
+	}
+	p.shim, err = sysfault.Start(p.command, 46, l.groups...)
 	require.NoError(t, err)
-	for _, f := range faults {
+	for _, f := range l.faults {
 		p.shim.Begin(f)
 	}
 	go func() {
@@ -87,6 +107,17 @@
 	return p
 }
 
+// configure writes the configuration, whole or not at all.
+func (p *faultedProxy) configure(list *fleet.Hand, admin string) {
+	text := strings.Replace(paper, `"rev":900`, `"rev":0`, 1)
+	text = strings.Replace(text, `"hard-limit-ms":300.0`, `"hard-limit-ms":1800.0`, 1)
+	if admin != "" {
+		text = strings.Replace(text, `"seed"`, fmt.Sprintf(`"admin_addr":%q,"seed"`, admin), 1)
+	}
+	require.NoError(p.t, os.WriteFile(p.config+".new", []byte(fmt.Sprintf(text, p.address, list.Address())), 0o600))
+	require.NoError(p.t, os.Rename(p.config+".new", p.config))
+}
+
 // running fails the test where the process has ended.
 func (p *faultedProxy) running() {
 	p.t.Helper()
@@ -188,3 +219,71 @@
 		})
 	}
 }
+
+// A configuration that cannot be read for a moment, at the start or at SIGHUP, is read a moment later: what the new service
+// tells counts soon after the signal, whether or not the file could be read.
+func TestAConfigurationThatCannotBeReadForAMomentIsReadAMomentLater(t *testing.T) {
+	for _, errno := range sysfault.Usual[sysfault.Open] {
+		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
+			t.Parallel()
+			p := newFaultedProxy(t, "UP a", []sysfault.Call{sysfault.Open})
+			p.ready()
+			next, err := fleet.ByHand()
+			require.NoError(t, err)
+			p.configure(next, "")
+			p.shim.Begin(sysfault.Fault{Call: sysfault.Open, Errors: []syscall.Errno{errno}, Chance: 1, Most: 3})
+			require.NoError(t, p.command.Process.Signal(syscall.SIGHUP))
+			require.Eventually(t, func() bool { return next.Calls() > 0 }, 3*time.Second, 10*time.Millisecond, "the new service is asked")
+			require.Equal(t, 3, p.shim.Failed()[sysfault.Open][unix.ErrnoName(errno)])
+		})
+	}
+}
+
+// Whoever reads the log may go, or stop reading: that is no reason to end, or to wait.
+func TestALogThatNobodyReadsHoldsNothingUp(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		t.Run(fmt.Sprint("gone ", gone), func(t *testing.T) {
+			t.Parallel()
+			reader, writer, err := os.Pipe()
+			require.NoError(t, err)
+			defer reader.Close()
+			defer writer.Close()
+			_, err = unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, 4096)
+			require.NoError(t, err)
+			if gone {
+				require.NoError(t, reader.Close())
+			}
+			p := launch{answer: "UP a", groups: []sysfault.Call{sysfault.Accept}, stderr: writer}.start(t)
+			p.ready()
+			for range 60 { // each is a line of the log
+				require.NoError(t, p.command.Process.Signal(syscall.SIGHUP))
+				line, err := p.answers("PING", time.Second)
+				p.running()
+				require.NoError(t, err)
+				require.Equal(t, "PONG\r\n", line)
+			}
+			require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+			select {
+			case <-p.ended:
+				require.True(t, p.command.ProcessState.Success(), "%s", p.command.ProcessState)
+			case <-time.After(5 * time.Second):
+				require.Fail(t, "it never ended")
+			}
+		})
+	}
+}
+
+// The operators' address is still there after its accepts have failed for a moment.
+func TestTheAdminAddressOutlastsFailingAccepts(t *testing.T) {
+	admin := freeAddress(t)
+	p := launch{answer: "UP a", groups: []sysfault.Call{sysfault.Accept}, admin: admin}.start(t)
+	p.ready()
+	client := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, errno := range sysfault.Usual[sysfault.Accept] {
+		end := p.shim.Begin(sysfault.Fault{Call: sysfault.Accept, Errors: []syscall.Errno{errno}, Chance: 1})
+		time.AfterFunc(50*time.Millisecond, end)
+		response, err := client.Get("http://" + admin + "/api/telemetry")
+		require.NoError(t, err, unix.ErrnoName(errno))
+		require.NoError(t, response.Body.Close())
+	}
+}
