Configurations, logs, operators' addresses and handovers outlast failures that pass

Cause, the incident's class: os.ReadFile's first EIO turned a new configuration down, though what its service tells counts 4 s after the signal; the standard server's Serve ends at any error that is not Temporary (ENOBUFS, ENOMEM); the runtime ends a program that writes to a broken standard error; the log was written on the loop, so that a reader that stops reading stopped it; the seat for the next process was given up for good after one failure, and its accepts ended likewise; SIGTERM waited behind a SIGHUP that was being read.

Change: reads, listeners, seats, channels and discovery's dials are tried again by internal/transient and internal/listen; internal/logging writes beside the loop and counts what it drops; SIGPIPE is ignored; each kind of signal has its own turn.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
-	"os"
 	"regexp"
 	"slices"
 	"sync"
@@ -19,6 +18,7 @@
 	"hatchproxy/agent/wanted"
 	"hatchproxy/internal/control"
 	"hatchproxy/internal/tomlfile"
+	"hatchproxy/internal/transient"
 	"hatchproxy/lease"
 	"hatchproxy/logic"
 )
@@ -55,7 +55,7 @@
 
 // ReadPlan reads a configuration and checks it; an error tells file, line and cause.
 func ReadPlan(path string) (*Plan, error) {
-	text, err := os.ReadFile(path)
+	text, err := transient.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
--- a/agent/surface.go
+++ b/agent/surface.go
@@ -17,6 +17,7 @@
 
 	"hatchproxy/agent/wanted"
 	"hatchproxy/internal/control"
+	"hatchproxy/internal/listen"
 	"hatchproxy/lease"
 )
 
@@ -32,7 +33,7 @@
 
 // serve opens the agent's surface and returns what closes it.
 func (a *Agent) serve(ctx context.Context) (func() error, error) {
-	l, err := net.Listen("tcp", a.config.Listen)
+	l, err := listen.TCP(ctx, a.config.Listen, a.log)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -26,8 +26,10 @@
 	"hatchproxy/internal/admin"
 	"hatchproxy/internal/control"
 	"hatchproxy/internal/discovery"
+	"hatchproxy/internal/logging"
 	"hatchproxy/internal/opening"
 	"hatchproxy/internal/proxy"
+	"hatchproxy/internal/transient"
 	"hatchproxy/logic"
 	"hatchproxy/orders"
 )
@@ -50,16 +52,23 @@
 `
 
 func main() {
+	// A write to a log that nobody reads any more fails, and does not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	err := run(os.Args[1:], os.Stdout)
 	if errors.Is(err, pflag.ErrHelp) {
 		return
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "hatchproxy:", err)
+		last := logging.NewWriter(os.Stderr)
+		fmt.Fprintln(last, "hatchproxy:", err)
+		last.Close(lastLines)
 		os.Exit(1)
 	}
 }
 
+// lastLines is how long the end waits for the log to be written: a log that nobody reads must not keep the process.
+const lastLines = 200 * time.Millisecond
+
 func run(args []string, out io.Writer) error {
 	flags := pflag.NewFlagSet("hatchproxy", pflag.ContinueOnError)
 	flags.Usage = func() { fmt.Fprint(out, usage) }
@@ -151,7 +160,9 @@
 	if err := lowest.UnmarshalText([]byte(cmp.Or(level, "info"))); err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &lowest}))
+	written := logging.NewWriter(os.Stderr)
+	defer written.Close(lastLines)
+	log := slog.New(slog.NewTextHandler(written, &slog.HandlerOptions{Level: &lowest}))
 	b, err := paper.Balancer()
 	if err != nil {
 		return err
@@ -242,7 +253,7 @@
 	if path == "" {
 		return nil, nil
 	}
-	text, err := os.ReadFile(path)
+	text, err := transient.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("--orders: %w", err)
 	}
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
-	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -18,6 +17,7 @@
 
 	"hatchproxy/internal/opening"
 	"hatchproxy/internal/tomlfile"
+	"hatchproxy/internal/transient"
 	"hatchproxy/limits"
 	"hatchproxy/logic"
 )
@@ -167,7 +167,7 @@
 
 // Read reads a file and checks it whole.
 func Read(path string) (*File, error) {
-	text, err := os.ReadFile(path)
+	text, err := transient.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"hatchproxy/internal/listen"
 	"hatchproxy/internal/telemetry"
 )
 
@@ -46,7 +47,7 @@
 
 // Open starts one.
 func Open(address string, p Proxy, log *slog.Logger) (*Admin, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := listen.TCP(context.Background(), address, log)
 	if err != nil {
 		return nil, fmt.Errorf("admin_addr: %w", err)
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/time/rate"
 
+	"hatchproxy/internal/listen"
 	"hatchproxy/orders"
 )
 
@@ -110,7 +111,7 @@
 
 // Open starts one at "unix:PATH" or at a loopback address with a port.
 func Open(address string, s Surface, log *slog.Logger) (*Control, error) {
-	l, socket, err := listen(address)
+	l, socket, err := openListener(address, log)
 	if err != nil {
 		return nil, fmt.Errorf("control: %w", err)
 	}
@@ -139,7 +140,7 @@
 	}
 }
 
-func listen(address string) (l net.Listener, socket string, err error) {
+func openListener(address string, log *slog.Logger) (l net.Listener, socket string, err error) {
 	path, unix := strings.CutPrefix(address, "unix:")
 	if !unix {
 		at, err := netip.ParseAddrPort(address)
@@ -149,8 +150,11 @@
 		if !at.Addr().IsLoopback() {
 			return nil, "", fmt.Errorf("%s is no loopback address", address)
 		}
-		l, err := net.Listen("tcp", address)
-		return l, "", err
+		l, err := listen.TCP(context.Background(), address, log)
+		if err != nil {
+			return nil, "", err
+		}
+		return l, "", nil
 	}
 	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
 		_ = c.Close()
@@ -160,7 +164,7 @@
 	if info, err := os.Lstat(path); err == nil && info.Mode()&os.ModeSocket != 0 {
 		_ = os.Remove(path)
 	}
-	l, err = net.Listen("unix", path)
+	l, err = listen.Unix(context.Background(), path, log)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hatchproxy/internal/protocol"
+	"hatchproxy/internal/transient"
 	"hatchproxy/logic"
 )
 
@@ -108,13 +109,25 @@
 	return &Service{
 		base: "http://" + address + "/v1/servers", hold: hold,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: connecting}).DialContext,
+			DialContext:        dial,
 			MaxConnsPerHost:    mostOut,
 			DisableCompression: true,
 		}},
 	}
 }
 
+// dial connects to the service. For want of this machine's own resources it is tried again: that says nothing of the
+// service, and a call that is given up for it would be made again only seconds later.
+func dial(ctx context.Context, network, address string) (conn net.Conn, err error) {
+	ctx, cancel := context.WithTimeout(ctx, connecting)
+	defer cancel()
+	err = transient.Retry(ctx, transient.Backoff{First: 2 * time.Millisecond, Longest: 100 * time.Millisecond}, transient.OfResources, func() error {
+		conn, err = new(net.Dialer).DialContext(ctx, network, address)
+		return err
+	})
+	return conn, err
+}
+
 // Close gives back the connections on which no call is out. Calls are ended by their own context.
 func (s *Service) Close() { s.client.CloseIdleConnections() }
 
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -32,20 +32,28 @@
 // TCP listens on an address. A call that fails for a moment is made again for some seconds; so is one that finds the
 // address taken, as by a process that is about to end. Connections have no keep-alive.
 func TCP(ctx context.Context, address string, log *slog.Logger) (*Listener, error) {
-	return open(ctx, "tcp", address, log)
+	return open(ctx, net.ListenConfig{KeepAlive: -1}, "tcp", address, log)
 }
 
-// open listens on a network's address.
-func open(ctx context.Context, network, address string, log *slog.Logger) (*Listener, error) {
+// SharedTCP does the same where another process may listen on the address as well, as the one does that is being replaced.
+func SharedTCP(ctx context.Context, address string, log *slog.Logger) (*Listener, error) {
+	return open(ctx, net.ListenConfig{KeepAlive: -1, Control: sharePort}, "tcp", address, log)
+}
+
+// Unix listens on a socket in the file system.
+func Unix(ctx context.Context, path string, log *slog.Logger) (*Listener, error) {
+	return open(ctx, net.ListenConfig{}, "unix", path, log)
+}
+
+func open(ctx context.Context, config net.ListenConfig, network, address string, log *slog.Logger) (*Listener, error) {
 	ctx, cancel := context.WithTimeout(ctx, opening)
 	defer cancel()
-	config := net.ListenConfig{Control: sharePort, KeepAlive: -1}
 	var l net.Listener
 	told := false
 	err := transient.Retry(ctx, backoff(), mayPass, func() (err error) {
 		if l, err = config.Listen(ctx, network, address); err != nil && !told {
 			told = true
-			log.Warn("listening fails, it is tried again", "address", address, "error", err)
+			log.Warn("listening fails", "address", address, "error", err)
 		}
 		return err
 	})
@@ -58,10 +66,7 @@
 func mayPass(err error) bool { return transient.OfResources(err) || isTaken(err) }
 
 // sharePort lets the next process of a replacement listen while this one still does.
-func sharePort(network, _ string, raw syscall.RawConn) error {
-	if network == "unix" {
-		return nil
-	}
+func sharePort(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
--- a/internal/opening/file.go
+++ b/internal/opening/file.go
@@ -8,11 +8,11 @@
 	"maps"
 	"math"
 	"net/netip"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 
+	"hatchproxy/internal/transient"
 	"hatchproxy/logic"
 )
 
@@ -46,7 +46,7 @@
 
 // FromFile reads the file at path.
 func FromFile(path string, lookUp func(string) string) (*Paper, error) {
-	text, err := os.ReadFile(path)
+	text, err := transient.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("the configuration cannot be read: %w", err)
 	}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -30,7 +30,8 @@
 func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (Renewal, error)) error {
 	defer p.stop()
 	p.reread = reread
-	go p.hearSignals(leave, again)
+	go p.handle(leave, func() { p.post(p.leave) })
+	go p.handle(again, p.reload)
 	if err := p.openListener(); err != nil {
 		return err
 	}
@@ -53,28 +54,32 @@
 	return p.fault
 }
 
-func (p *Proxy) hearSignals(leave, again <-chan os.Signal) {
+// handle has each signal of one kind handled, one after the other. Kinds do not wait for each other: a file that cannot be
+// read for a moment must not put the word to leave off.
+func (p *Proxy) handle(signals <-chan os.Signal, call func()) {
 	<-p.started
 	for {
 		select {
-		case <-leave:
-			p.post(p.leave)
-		case <-again:
-			if err := p.Reload(p.ctx); err != nil {
-				p.log.Error("the new configuration is of no use, the old one is kept", "error", err)
-			}
+		case <-signals:
+			call()
 		case <-p.ctx.Done():
 			return
 		}
 	}
 }
 
+func (p *Proxy) reload() {
+	if err := p.Reload(p.ctx); err != nil {
+		p.log.Error("the new configuration is of no use, the old one is kept", "error", err)
+	}
+}
+
 // openListener listens where the platform's socket was not inherited.
 func (p *Proxy) openListener() error {
 	if p.acceptor != nil {
 		return nil
 	}
-	l, err := listen.TCP(p.ctx, p.listen, p.log)
+	l, err := listen.SharedTCP(p.ctx, p.listen, p.log)
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -63,17 +63,22 @@
 // takeSeat has the next process find this one.
 func (p *Proxy) takeSeat() {
 	h := p.heritage
-	if h.seat != nil || h.folder == "" {
+	if h.seat != nil || h.folder == "" || p.duty == leaving || p.acceptor.Paused() {
 		return
 	}
-	seat, err := succession.Take(h.folder, func(c *succession.Channel) { p.post(func() { p.heirComes(c) }) })
+	seat, err := succession.Take(h.folder, p.log, func(c *succession.Channel) { p.post(func() { p.heirComes(c) }) })
 	if err != nil {
-		p.log.Warn("the next process will not find this one", "error", err)
-		h.folder = ""
+		// A folder that heals is used again: a process that comes in its time finds this one.
+		p.log.Warn("the next process does not find this one yet", "error", err)
+		p.after(seatRetry, p.takeSeat)
+		return
 	}
 	h.seat = seat
 }
 
+// seatRetry is the wait before a folder that failed is tried again.
+const seatRetry = 2 * second
+
 func (p *Proxy) stopAccepting() {
 	if p.heritage != nil {
 		p.acceptor.Pause()
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -4,13 +4,18 @@
 package succession
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"hatchproxy/internal/listen"
+	"hatchproxy/internal/transient"
 )
 
 const (
@@ -21,6 +26,10 @@
 	mostFiles = 2
 	// writing is how long a packet may wait for the other side; one that reads nothing is as good as gone.
 	writing = 500 * time.Millisecond
+	// finding bounds the search for a process that runs already.
+	finding = time.Second
+	// retrying is how long a packet is sent again that failed for a moment: its sender's loop waits meanwhile.
+	retrying = 50 * time.Millisecond
 )
 
 // Channel leads to the other process. One goroutine may send while another receives.
@@ -32,8 +41,12 @@
 		return fmt.Errorf("a packet of %d bytes is too large", len(packet))
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writing))
-	_, _, err := c.conn.WriteMsgUnix(packet, syscall.UnixRights(files...), nil)
-	return err
+	ctx, cancel := context.WithTimeout(context.Background(), retrying)
+	defer cancel()
+	return transient.Retry(ctx, transient.Backoff{First: time.Millisecond, Longest: retrying / 4}, transient.OfResources, func() error {
+		_, _, err := c.conn.WriteMsgUnix(packet, syscall.UnixRights(files...), nil)
+		return err
+	})
 }
 
 // Receive waits for a packet. The descriptors are the caller's.
@@ -73,7 +86,13 @@
 
 // Find leads to the process that runs already.
 func Find(folder string) (*Channel, error) {
-	conn, err := net.DialTimeout("unixpacket", filepath.Join(folder, name), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), finding)
+	defer cancel()
+	var conn net.Conn
+	err := transient.Retry(ctx, transient.Backoff{First: time.Millisecond, Longest: 50 * time.Millisecond}, transient.OfResources, func() (err error) {
+		conn, err = new(net.Dialer).DialContext(ctx, "unixpacket", filepath.Join(folder, name))
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +107,7 @@
 
 // Take makes this process the one that is found, in the place of whoever was before, and hands over each channel
 // that is opened to it.
-func Take(folder string, heir func(*Channel)) (*Seat, error) {
+func Take(folder string, log *slog.Logger, heir func(*Channel)) (*Seat, error) {
 	own := filepath.Join(folder, fmt.Sprintf("%s.%d", name, os.Getpid()))
 	if err := os.Remove(own); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err // what is left of one with this number
@@ -106,13 +125,14 @@
 		return nil, err
 	}
 	go func() {
+		door := listen.Keep(l, log)
 		for {
-			conn, err := l.AcceptUnix()
-			if err != nil {
+			conn, err := door.Accept()
+			if err != nil { // it was left or retired
 				_ = l.Close()
 				return
 			}
-			heir(&Channel{conn})
+			heir(&Channel{conn.(*net.UnixConn)})
 		}
 	}()
 	return s, nil
--- a/internal/succession/succession_test.go
+++ b/internal/succession/succession_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -23,7 +24,7 @@
 
 func take(t *testing.T, at string) (*succession.Seat, chan *succession.Channel) {
 	heirs := make(chan *succession.Channel, 1)
-	seat, err := succession.Take(at, func(c *succession.Channel) { heirs <- c })
+	seat, err := succession.Take(at, slog.New(slog.DiscardHandler), func(c *succession.Channel) { heirs <- c })
 	require.NoError(t, err)
 	t.Cleanup(seat.Leave)
 	return seat, heirs
@@ -122,12 +123,12 @@
 	require.Error(t, err, "what one that died leaves behind is refused")
 	require.NoError(t, os.Remove(path))
 	require.NoError(t, os.MkdirAll(filepath.Join(path, "foreign"), 0o700))
-	_, err = succession.Take(at, func(*succession.Channel) {})
+	_, err = succession.Take(at, slog.New(slog.DiscardHandler), func(*succession.Channel) {})
 	require.Error(t, err, "a folder is nobody's to take away")
 	entries, err := os.ReadDir(at)
 	require.NoError(t, err)
 	require.Len(t, entries, 1, "no name of its own stays")
-	_, err = succession.Take(filepath.Join(at, "none"), func(*succession.Channel) {})
+	_, err = succession.Take(filepath.Join(at, "none"), slog.New(slog.DiscardHandler), func(*succession.Channel) {})
 	require.Error(t, err)
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -32,7 +32,6 @@
 	AcceptRetries   uint64 // accepts that failed for a moment
 	RegisterRetries uint64 // connections that the event loop did not take at first
 	DialRetries     uint64 // dials made again for want of this machine's own resources
-	ReadRetries     uint64 // configurations that could not be read for a moment
 
 	refused, retried, closed, violations reasons
 }
@@ -131,7 +130,6 @@
 	one("accept_retries", "counter", f.counts.AcceptRetries)
 	one("register_retries", "counter", f.counts.RegisterRetries)
 	one("dial_retries", "counter", f.counts.DialRetries)
-	one("conf_read_retries", "counter", f.counts.ReadRetries)
 	by := func(name, key string, counted reasons) {
 		kind(name, "counter")
 		for _, why := range slices.Sorted(maps.Keys(counted)) {
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -73,3 +73,17 @@
 		}
 	}
 }
+
+// reading is how long a file is tried to be read: what a new configuration names counts some seconds after the signal.
+const reading = 3 * time.Second
+
+// ReadFile reads a file, again for some seconds while that fails for a reason that passes. Source: OfFiles.
+func ReadFile(path string) (text []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), reading)
+	defer cancel()
+	err = Retry(ctx, Backoff{First: 2 * time.Millisecond, Longest: 100 * time.Millisecond}, OfFiles, func() error {
+		text, err = os.ReadFile(path)
+		return err
+	})
+	return text, err
+}
