One place decides what may be sent, repeated, answered or closed, and counts violations

Cause: whether something may still be done for a request was asked in ten places by two flags; nothing noticed where one of them was missed. A write that failed in part could go out at the close, since the attempt did not know its connection yet (gnet flushes what is buffered); at the end resting clients were closed without a word, though a request may be on its way; a loop that ended by itself closed all.

Change: internal/lifecycle holds a request's states and rules, asked before each start, write, answer and close; in the instant before a write it is also looked whether the client is still there (a peek at its socket), the deadline and what the module says. The end waits up to 0.1 s for last words, and resting clients hear BUSY.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"hatchproxy/internal/lifecycle"
 	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/internal/telemetry"
@@ -20,21 +21,21 @@
 
 // client is an accepted connection and what came of it. It owns its socket and its dispatch.
 type client struct {
-	conn   gnet.Conn
-	talk   protocol.Client
-	id     logic.AttachmentID // 0 until it has asked
-	class  string             // what it asked for, once that is known to be offered
-	at     *logic.Attachment
-	out    *dispatch // on its way, or where the connection stands
-	stands bool
-	over   bool       // it has its final answer, or is gone
-	queue  *list.List // the proxy's silent or done, while it stands in one of them
-	place  *list.Element
-	gated  bool           // the gate has let it in, and is to be told when it leaves
-	sent   []logic.Micros // when the messages came that have not been answered
-	came   logic.Micros   // when it connected
-	passed *os.File       // its socket as another process passed it on, until the loop has it
-	early  []byte         // what came for it from its server, or from itself, before the loop had it
+	conn    gnet.Conn
+	talk    protocol.Client
+	id      logic.AttachmentID // 0 until it has asked
+	class   string             // what it asked for, once that is known to be offered
+	at      *logic.Attachment
+	out     *dispatch // on its way, or where the connection stands
+	request lifecycle.Request
+	last    logic.Outcome // of its last attempt that ended
+	queue   *list.List    // the proxy's silent or done, while it stands in one of them
+	place   *list.Element
+	gated   bool           // the gate has let it in, and is to be told when it leaves
+	sent    []logic.Micros // when the messages came that have not been answered
+	came    logic.Micros   // when it connected
+	passed  *os.File       // its socket as another process passed it on, until the loop has it
+	early   []byte         // what came for it from its server, or from itself, before the loop had it
 
 	figures notes.Conn
 }
@@ -51,17 +52,17 @@
 // clientOpened has a client's connection, which was accepted, or which the other process passed on.
 func (p *Proxy) clientOpened(c *client, conn gnet.Conn) gnet.Action {
 	c.conn = conn
-	if c.over {
+	if c.request.Over() {
 		return gnet.Close // its server has ended it meanwhile
 	}
 	early := c.early
 	c.early = nil
 	switch {
-	case c.stands:
+	case c.request.Stood():
 		p.serverSays(c.out, early)
 	case !p.room(0):
 		p.full++
-		p.refuse(c)
+		p.refuse(c, noDescriptors)
 	default:
 		p.awaitAsking(c)
 		p.clientSays(c, early)
@@ -73,7 +74,7 @@
 	c.wait(&p.silent)
 	p.at(c.came+asking, func() {
 		if c.queue == &p.silent {
-			p.answer(c, telemetry.Errored, protocol.Fault(errSilent))
+			p.answer(c, telemetry.Errored, protocol.Fault(errSilent), "nothing asked")
 		}
 	})
 }
@@ -105,9 +106,8 @@
 		}
 		c := first.Value.(*client)
 		c.leaveQueue()
-		if !c.over {
-			p.release(c)
-			_, _ = c.conn.Write(protocol.Refusal(0)) // a failure comes as the end of the connection
+		if !c.request.Over() {
+			p.say(c, telemetry.Deferred, protocol.Refusal(0), noDescriptors)
 		}
 		if isOpen(c.conn) {
 			emptyOut(c.conn.Fd())
@@ -136,9 +136,10 @@
 )
 
 func (p *Proxy) clientSays(c *client, b []byte) {
-	for len(b) > 0 && !c.over && !c.stands {
+	for len(b) > 0 && !c.request.Over() && !c.request.Stood() {
 		var ev protocol.ClientEvent
 		ev, b = c.talk.Feed(b)
+		c.request.Read(c.talk.Held() != nil)
 		switch ev {
 		case protocol.Probed:
 			word := protocol.NotReady
@@ -153,7 +154,7 @@
 			p.wrong(c, c.talk.Why)
 		}
 	}
-	if len(b) > 0 && c.stands && !c.over {
+	if len(b) > 0 && c.request.Stood() && !c.request.Over() {
 		p.passUp(c, b)
 	}
 }
@@ -162,7 +163,7 @@
 // tells how many there were.
 func (p *Proxy) wrong(c *client, why error) {
 	p.refused, p.why = p.refused+1, why
-	p.answer(c, telemetry.Errored, protocol.Fault(why))
+	p.answer(c, telemetry.Errored, protocol.Fault(why), "not the protocol")
 }
 
 // arrived takes an attachment in hand.
@@ -182,15 +183,15 @@
 		p.wrong(c, errTwice)
 		return
 	case p.refusing:
-		p.refuse(c)
+		p.refuse(c, isLeaving)
 		return
 	case !p.room(2): // a dispatch takes two descriptors for a moment
 		p.full++
-		p.refuse(c)
+		p.refuse(c, noDescriptors)
 		return
 	}
 	if why, wait := p.pass(now, c); why != limits.None {
-		p.answer(c, telemetry.Deferred, protocol.Refusal(wait))
+		p.answer(c, telemetry.Deferred, protocol.Refusal(wait), "limit "+string(why))
 		return
 	}
 	most := offered.limit
@@ -206,6 +207,14 @@
 		Came: now, Limit: now + max(wait-margin, wait/2),
 	}
 	p.clients[c.id] = c
+	effect := p.in.Effect(offered.product)
+	if c.talk.Stands != "" {
+		effect = logic.Harmless // what stood before goes back to where it was
+	}
+	if err := c.request.Take(effect, c.at.Limit); err != nil {
+		p.violated(c, err)
+		return
+	}
 	p.trace("asked", c, "key", uint64(c.talk.Key), "class", c.class, "group", uint64(c.talk.Group), "back", c.talk.Back,
 		"wait_us", int64(wait))
 	if c.talk.Stands != "" {
@@ -241,20 +250,6 @@
 	return 0
 }
 
-// answer gives a client its final line and closes.
-func (p *Proxy) answer(c *client, ending telemetry.Ending, line []byte) {
-	if c.over {
-		return
-	}
-	if c.class != "" {
-		p.counts.Count(c.class, ending)
-	}
-	p.trace("answered", c, "ending", ending.String())
-	_, _ = c.conn.Write(line) // a failure comes as the end of the connection
-	p.release(c)
-	p.lastWord(c)
-}
-
 // lastWord has a client leave that has had its last word.
 func (p *Proxy) lastWord(c *client) {
 	if isOpen(c.conn) {
@@ -265,7 +260,7 @@
 
 // release is where a client's resources are given back, but for its socket, which the caller shuts.
 func (p *Proxy) release(c *client) {
-	c.over = true
+	c.request.End()
 	c.talk.Drop()
 	if c.gated {
 		c.gated = false
@@ -292,10 +287,10 @@
 
 // clientEnded ends the server's side in the same way.
 func (p *Proxy) clientEnded(c *client, reset bool) {
-	if c.over {
+	if c.request.Over() {
 		return
 	}
-	if c.stands {
+	if c.request.Stood() {
 		p.unseat(c, byClient)
 		p.in.ClientLeft(p.now(), c.id)
 		if reset {
@@ -313,14 +308,14 @@
 // PushBack answers that trying again is harmless.
 func (p *Proxy) PushBack(id logic.AttachmentID, in logic.Micros) {
 	if c := p.clients[id]; c != nil {
-		p.answer(c, telemetry.Deferred, protocol.Refusal(in))
+		p.answer(c, telemetry.Deferred, protocol.Refusal(in), c.lately())
 	}
 }
 
 // GiveUp answers with no promise.
 func (p *Proxy) GiveUp(id logic.AttachmentID) {
 	if c := p.clients[id]; c != nil {
-		p.answer(c, telemetry.Errored, protocol.Failed)
+		p.answer(c, telemetry.Errored, protocol.Failed, c.lately())
 	}
 }
 
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"hatchproxy/internal/discovery"
+	"hatchproxy/internal/lifecycle"
 	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/internal/telemetry"
@@ -42,13 +44,14 @@
 	hang   context.CancelFunc
 	began  logic.Micros
 	until  logic.Micros
+	sent   bool // its line was handed over for writing
 	over   bool
 	ending logic.Outcome // what the server's last word says of the end of a standing connection
 }
 
 // written tells whether the last byte of the line may have gone to the server. The kernel takes a line in parts, or later:
 // what it has not taken is still in the connection's buffer, and goes out on its own time.
-func (d *dispatch) written() bool { return d.conn != nil && d.conn.OutboundBuffered() == 0 }
+func (d *dispatch) written() bool { return d.sent && d.conn.OutboundBuffered() == 0 }
 
 // unsent is the outcome of a dispatch that ends before the server has said anything: one whose line is not out whole has
 // never run, and never will, as drop and serverEnded see to.
@@ -69,7 +72,17 @@
 }
 
 func (p *Proxy) dispatch(c *client, to logic.ServerID, wait logic.Micros) {
-	d := &dispatch{client: c, server: p.servers[to], began: p.now(), until: p.now() + wait, ending: logic.Reset}
+	now := p.now()
+	if err := c.request.Start(now); err != nil {
+		p.violated(c, err)
+		p.in.Ended(now, c.id, logic.Cancelled, true)
+		p.answer(c, telemetry.Errored, protocol.Failed, "no further attempt")
+		return
+	}
+	if c.request.Attempts() > 1 {
+		p.counts.Retried(c.last.String())
+	}
+	d := &dispatch{client: c, server: p.servers[to], began: now, until: now + wait, ending: logic.Reset}
 	c.out = d
 	p.trace("sent", c, "server", d.server.uid)
 	var ctx context.Context
@@ -77,7 +90,7 @@
 	p.room(2) // those in use for requests leave room for what is not had here
 	p.sockets += 2
 	p.at(d.until, func() {
-		if !d.over && !c.stands {
+		if !d.over && !c.request.Stood() {
 			p.failed(d, d.unsent(logic.TimedOut))
 		}
 	})
@@ -122,28 +135,62 @@
 
 // connected sends the line. A connection for what is over by now is closed.
 func (p *Proxy) connected(d *dispatch, conn gnet.Conn) gnet.Action {
-	if c := d.client; c.stands {
+	if c := d.client; c.request.Stood() {
 		return p.serverResumed(c, conn)
 	}
 	p.sockets-- // the dial closes its own descriptor
 	if d.over {
 		return gnet.Close
 	}
-	if d.client.talk.Stands == "" && !p.in.MaySend(p.now(), d.client.at) {
-		p.failed(d, logic.Moot) // nothing was written
+	if !p.maySend(d) {
 		return gnet.Close
 	}
+	d.conn = conn
 	line := d.client.talk.Line(d.until - p.now())
 	if _, err := conn.Write(line); err != nil {
-		return gnet.None // none of it was taken, and the end of the connection has been told
+		return gnet.None // the end of the connection has been told, with the line unsent
 	}
-	d.conn = conn
+	d.sent = true
+	d.client.request.Sent()
 	p.counts.Sends++
 	return gnet.None
 }
 
+// maySend decides, in the instant before a line would be written, whether it may be. The world may have changed since the
+// attempt began: the client may have left, its time be up, the server drain, a repeat be out of its window. An attempt
+// that may not be sent ends here, and has never run.
+func (p *Proxy) maySend(d *dispatch) bool {
+	c, now := d.client, p.now()
+	if err := c.request.Send(now, isPresent(c.conn)); err != nil {
+		var v *lifecycle.Violation
+		if errors.As(err, &v) && v.Rule == lifecycle.ClientPresent {
+			p.clientEnded(c, false) // its end is about to be read
+			return false
+		}
+		p.trace("unsent", c, "server", d.server.uid, "why", err.Error())
+		p.failed(d, logic.Moot)
+		return false
+	}
+	if c.talk.Stands == "" && !p.in.MaySend(now, c.at) {
+		p.failed(d, logic.Moot)
+		return false
+	}
+	return true
+}
+
+// isPresent tells whether a client's connection has neither ended nor broken, also where the loop has not come to read
+// that yet.
+func isPresent(conn gnet.Conn) bool {
+	if !isOpen(conn) {
+		return false
+	}
+	var next [1]byte
+	n, _, err := unix.Recvfrom(conn.Fd(), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0 || errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
+}
+
 func (p *Proxy) serverSays(d *dispatch, b []byte) {
-	if c := d.client; c.stands && c.conn == nil {
+	if c := d.client; c.request.Stood() && c.conn == nil {
 		c.early = append(c.early, b...)
 		return
 	}
@@ -151,7 +198,7 @@
 		var ev protocol.ServerEvent
 		var pass []byte
 		ev, pass, b = d.talk.Feed(b)
-		if d.client.stands {
+		if d.client.request.Stood() {
 			p.passDown(d, ev, pass)
 			continue
 		}
@@ -174,7 +221,12 @@
 // stood passes the server's word on: the connection stands.
 func (p *Proxy) stood(d *dispatch, pass []byte) {
 	c, now := d.client, p.now()
-	c.stands, c.figures.Since = true, now
+	if err := c.request.Establish(); err != nil {
+		p.violated(c, err)
+		p.failed(d, logic.Failure)
+		return
+	}
+	c.figures.Since = now
 	p.trace("up", c, "server", d.server.uid, "took_us", int64(now-d.began))
 	d.hang()
 	d.server.standing++
@@ -190,8 +242,10 @@
 // failed ends a dispatch that never stood and asks what to do now.
 func (p *Proxy) failed(d *dispatch, o logic.Outcome) {
 	c := d.client
-	p.trace("failed", c, "server", d.server.uid, "took_us", int64(p.now()-d.began), "outcome", o)
+	p.trace("failed", c, "server", d.server.uid, "took_us", int64(p.now()-d.began), "outcome", uint8(o), "why", o.String())
 	p.drop(d)
+	c.last = o
+	c.request.Finish(!o.NeverRan())
 	if c.talk.Stands != "" {
 		p.after(restoring, func() { p.restore(c) })
 		return
@@ -227,7 +281,7 @@
 	}
 	c := d.client
 	switch {
-	case c.stands:
+	case c.request.Stood():
 		by := byServer
 		if d.ending == logic.OK {
 			by = byService
@@ -249,6 +303,7 @@
 func (p *Proxy) unseat(c *client, by string) {
 	d := c.out
 	p.trace("ended", c, "by", by)
+	p.counts.Closed(by)
 	d.over = true
 	d.server.standing--
 	d.server.figures.Left(&c.figures)
@@ -267,11 +322,11 @@
 func (p *Proxy) restore(c *client) {
 	now := p.now()
 	switch {
-	case c.over:
+	case c.request.Over():
 	case now >= c.at.Limit:
-		p.answer(c, telemetry.Errored, protocol.Failed)
+		p.answer(c, telemetry.Errored, protocol.Failed, c.lately())
 	case p.servers[discovery.ID(c.talk.Stands)] == nil && p.ready && now-c.at.Came > asking:
-		p.answer(c, telemetry.Errored, protocol.Failed) // the list has been had, and such a server is not on it
+		p.answer(c, telemetry.Errored, protocol.Failed, "not listed") // the list has been had, and such a server is not on it
 	case p.servers[discovery.ID(c.talk.Stands)] == nil:
 		p.after(restoring, func() { p.restore(c) })
 	default:
--- a/internal/proxy/hooks_test.go
+++ b/internal/proxy/hooks_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"log/slog"
 	"net"
+
+	"github.com/panjf2000/gnet/v2"
+	errorx "github.com/panjf2000/gnet/v2/pkg/errors"
 )
 
 // Between has a test stand between a proxy and its dials, before it runs: what a dial brings goes through it.
@@ -33,5 +36,13 @@
 	})
 }
 
+// EndLoop has the loop end by itself, as its library does where waiting for events fails.
+func (p *Proxy) EndLoop() {
+	_ = p.loop.Execute(p.ctx, gnet.RunnableFunc(func(context.Context) error { return errorx.ErrEngineShutdown }))
+}
+
+// ErrLoopEnded is what Run then returns.
+var ErrLoopEnded = errLoopEnded
+
 // LogTo has a proxy write its log elsewhere, before it runs.
 func (p *Proxy) LogTo(log *slog.Logger) { p.log = log }
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -137,7 +137,7 @@
 func (p *Proxy) standing() []*client {
 	var standing []*client
 	for _, c := range p.clients {
-		if c.stands {
+		if c.request.Stood() {
 			standing = append(standing, c)
 		}
 	}
@@ -151,18 +151,21 @@
 	now := p.now()
 	for _, id := range slices.Sorted(maps.Keys(p.clients)) {
 		c := p.clients[id]
-		if c == nil || c.stands {
+		if c == nil || c.request.Stood() {
 			continue
 		}
 		c.at.Limit = now
+		c.request.Expire(now)
 		d, ended := c.out, logic.Cancelled
 		if d != nil {
 			ended = d.unsent(logic.Cancelled)
 			p.drop(d)
+			c.last = ended
+			c.request.Finish(!ended.NeverRan())
 		}
 		switch {
 		case c.talk.Stands != "":
-			p.answer(c, telemetry.Errored, protocol.Failed)
+			p.answer(c, telemetry.Errored, protocol.Failed, isLeaving)
 		case d != nil:
 			p.in.Ended(now, id, ended, false)
 		default:
@@ -174,12 +177,13 @@
 // lastLines is how long the end waits for lines that are half through: SIGKILL comes 0.2 s after it at the soonest.
 const lastLines = 100 * millisecond
 
-// quit ends the loop, and Run returns, once those that stand have been told to come again.
+// quit has Run return, once those that stand have been told to come again and all others have a last word.
 func (p *Proxy) quit() { p.quitBy(p.now() + lastLines) }
 
-// quitBy guards against a client that is cut off without a word, since its server was within a line just then.
+// quitBy guards against a client that is cut off without a word: since its server was within a line just then, its last
+// word is still on the way, or its request came in this moment.
 func (p *Proxy) quitBy(latest logic.Micros) {
-	if p.ctx.Err() != nil {
+	if p.quitting || p.ctx.Err() != nil {
 		return
 	}
 	for _, c := range p.standing() {
@@ -187,10 +191,29 @@
 			p.move(c, logic.Cancelled, byLeaving)
 		}
 	}
-	if len(p.standing()) > 0 && p.now() < latest {
+	if p.heritage == nil { // else they wait in the socket that the next process has, too
+		p.refuseSilent()
+	}
+	if (len(p.standing()) > 0 || p.done.Len() > 0) && p.now() < latest {
 		p.after(10*millisecond, func() { p.quitBy(latest) })
 		return
 	}
+	p.quitting = true
+	p.acceptor.Close()
+	p.after(lastRegistration, p.gone)
+}
+
+// lastRegistration is how long a connection that was accepted last may take until the loop has it.
+const lastRegistration = 5 * millisecond
+
+// gone is the last turn of a proxy that leaves.
+func (p *Proxy) gone() {
+	p.refuseSilent()
+	for e := p.done.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*client); isOpen(c.conn) {
+			emptyOut(c.conn.Fd()) // or its close would be a reset
+		}
+	}
 	p.log.Info("gone", "attachments", len(p.clients))
 	if p.heritage != nil {
 		p.heritage.close()
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -9,9 +9,9 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"hatchproxy/internal/lifecycle"
 	"hatchproxy/internal/listen"
 	"hatchproxy/internal/protocol"
-	"hatchproxy/internal/telemetry"
 	"hatchproxy/internal/transient"
 )
 
@@ -170,8 +170,16 @@
 	return own, other, nil
 }
 
-// finish has Run return.
+// finish has Run return. By then each request has its answer.
 func (p *Proxy) finish() {
+	if p.duty != leaving {
+		p.violated(nil, &lifecycle.Violation{Rule: lifecycle.EndOnlyWhenTold, Why: "the process ends"})
+	}
+	for _, c := range p.clients {
+		if c.request.Close() != nil {
+			p.violated(c, &lifecycle.Violation{Rule: lifecycle.NothingLeftAtEnd, State: c.request.State(), Why: "the process ends"})
+		}
+	}
 	p.stop()
 	p.finished.Do(func() { close(p.ended) })
 }
@@ -199,6 +207,6 @@
 // refuseSilent tells those that have asked nothing yet to try elsewhere: a request may be on its way from them.
 func (p *Proxy) refuseSilent() {
 	for first := p.silent.Front(); first != nil; first = p.silent.Front() {
-		p.answer(first.Value.(*client), telemetry.Deferred, protocol.Refusal(0))
+		p.refuse(first.Value.(*client), isLeaving)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,7 +17,6 @@
 	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/host"
 	"hatchproxy/internal/notes"
-	"hatchproxy/internal/protocol"
 	"hatchproxy/internal/telemetry"
 	"hatchproxy/limits"
 	"hatchproxy/logic"
@@ -88,6 +87,7 @@
 	copied   logic.Micros // when the counts were copied last
 	telling  bool         // somebody may fetch them
 	swept    int          // the turn in which clients were begun to be sent away
+	quitting bool         // the acceptor is closed, and the end is a moment off
 	heritage *heritage    // nil: the listener is its own
 }
 
@@ -242,7 +242,7 @@
 func isOver(side any) bool {
 	switch side := side.(type) {
 	case *client:
-		return side.over
+		return side.request.Over()
 	case *dispatch:
 		return side.over
 	case *anchor:
@@ -317,6 +317,3 @@
 func (l gnetLog) Fatalf(f string, a ...any) { l.log.Error(fmt.Sprintf(f, a...)) }
 
 var _ host.Line = (*Proxy)(nil)
-
-// refuse says what a client is told whose attachment the proxy does not take.
-func (p *Proxy) refuse(c *client) { p.answer(c, telemetry.Deferred, protocol.Refusal(0)) }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -88,7 +88,7 @@
 			if p.delaysHeard == 0 {
 				p.tellsDelays(-1) // until a series of them is heard
 			}
-			if !c.over {
+			if !c.request.Over() {
 				p.in.LoadChanged(p.now(), c.id, x)
 			}
 		})
@@ -112,7 +112,7 @@
 
 func (p *Proxy) passOn(c *client, b []byte) {
 	_, _ = c.conn.Write(b) // a failure comes as the end of the connection
-	if !c.over && c.conn.OutboundBuffered() > mostUnsent {
+	if !c.request.Over() && c.conn.OutboundBuffered() > mostUnsent {
 		p.log.Warn("a client does not read")
 		p.unseat(c, byClient)
 		p.in.ClientLeft(p.now(), c.id)
@@ -124,7 +124,7 @@
 // Move ends an open connection politely.
 func (p *Proxy) Move(id logic.AttachmentID) {
 	c := p.clients[id]
-	if c == nil || !c.stands {
+	if c == nil || !c.request.Stood() {
 		return
 	}
 	by := byChoice
@@ -139,7 +139,7 @@
 
 func (p *Proxy) moveBy(c *client, o logic.Outcome, by string, latest logic.Micros) {
 	d := c.out
-	if c.over {
+	if c.request.Over() {
 		return
 	}
 	if (!d.talk.Between() || c.conn == nil) && p.now() < latest {
@@ -148,7 +148,7 @@
 	}
 	if d.talk.Between() && c.conn != nil {
 		_, _ = c.conn.Write(protocol.Leave) // a failure comes as the end of the connection
-		if c.over {
+		if c.request.Over() {
 			return
 		}
 	}
@@ -177,7 +177,7 @@
 	waiting := map[*server][]logic.Micros{}
 	var mute []*client
 	for _, c := range p.clients {
-		if !c.stands || len(c.sent) == 0 {
+		if !c.request.Stood() || len(c.sent) == 0 {
 			continue
 		}
 		age := now - c.sent[0]
@@ -197,7 +197,7 @@
 	}
 	slices.SortFunc(mute, func(a, b *client) int { return int(a.id) - int(b.id) })
 	for _, c := range mute {
-		if !c.over {
+		if !c.request.Over() {
 			p.log.Warn("a server brings nothing back", "server", c.out.server.endpoint)
 			// At once, also within a line: its rest is not coming.
 			p.moveBy(c, logic.Reset, bySilence, now)
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -384,7 +384,7 @@
 
 // serverResumed has a server's side; the client's comes next, so that there is somebody to send its bytes to.
 func (p *Proxy) serverResumed(c *client, conn gnet.Conn) gnet.Action {
-	if c.over {
+	if c.request.Over() {
 		_ = c.passed.Close()
 		return gnet.Close
 	}
@@ -406,7 +406,8 @@
 		return
 	}
 	now := p.now()
-	c := &client{class: s.Class, stands: true, sent: s.Sent, came: now, passed: own}
+	c := &client{class: s.Class, sent: s.Sent, came: now, passed: own}
+	c.request.Resume()
 	c.talk.ID, c.talk.Key, c.talk.Group, c.talk.Product = s.ID, s.Key, s.Group, s.Class
 	c.figures = notes.Conn{Since: s.Since, Load: s.Load}
 	d := &dispatch{client: c, server: to, began: now, until: now, ending: logic.Reset, hang: func() {}}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -133,6 +133,9 @@
 	return b.offered
 }
 
+// Effect is what a second run of a product would do.
+func (b *Balancer) Effect(p ProductID) Repeat { return b.products[p].Repeat }
+
 // Offers tells whether the table of products holds this one.
 func (b *Balancer) Offers(p ProductID) bool { return int(p) < len(b.products) }
 
@@ -627,7 +630,7 @@
 			b.Delay(now, s.ID, max(s.Delay, b.quickest())) // against sending them back; hurts where ways break
 		}
 	}
-	if !stood && !o.neverRan() && a.ran == nil {
+	if !stood && !o.NeverRan() && a.ran == nil {
 		a.ran, a.ranSince = s, a.sentAt
 	}
 	if over || stood {
--- a/logic/types.go
+++ b/logic/types.go
@@ -60,8 +60,12 @@
 	Moot
 )
 
-// neverRan tells the outcomes that prove that a dispatch had no effect.
-func (o Outcome) neverRan() bool { return o == Full || o == NoConnection || o == Moot }
+var outcomeNames = [...]string{"ok", "failure", "full", "timed-out", "no-connection", "reset", "cancelled", "moot"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// NeverRan tells the outcomes that prove that a dispatch had no effect.
+func (o Outcome) NeverRan() bool { return o == Full || o == NoConnection || o == Moot }
 
 // Weighing says what a weight in the list stands for.
 type Weighing uint8
