--- a/lab/ledger/judge_test.go
+++ b/lab/ledger/judge_test.go
@@ -68,13 +68,22 @@
 		events story
 		broken []ledger.Rule
 	}{
-		"a sound connection":             {up().then(5000, ledger.Left, none).then(5001, ledger.Dropped, 0), nil},
-		"no answer":                      {asks(0, 0), []ledger.Rule{ledger.OneAnswer}},
+		"a sound connection": {up().then(5000, ledger.Left, none).then(5001, ledger.Dropped, 0), nil},
+		"no answer":          {asks(0, 0), []ledger.Rule{ledger.OneAnswer}},
+		"no answer from one killed at rest": {append(story{{At: 1, Kind: ledger.Connected, ID: 1, Server: none, Proxy: none, Product: none}}.proxy(100, ledger.ProxyKilled),
+			asks(2000, 0).then(2001, ledger.HeardNothing, none)...), nil},
+		"no answer from one killed long before": {append(story{}.proxy(100, ledger.ProxyKilled), asks(2000, 0).then(2001, ledger.HeardNothing, none)...), []ledger.Rule{ledger.OneAnswer}},
+		"again at one server, the ends cross": {asks(0, 0).then(1, ledger.Arrived, 0).then(1, ledger.Taken, 0).then(100, ledger.Arrived, 0).then(100, ledger.Taken, 0).
+			then(101, ledger.Dropped, 0).then(900, ledger.HeardBusy, none).then(901, ledger.Dropped, 0), nil},
+		"again at one server, one is left out": {asks(0, 0).then(1, ledger.Arrived, 0).then(1, ledger.Taken, 0).then(100, ledger.Arrived, 0).then(100, ledger.Taken, 0).
+			then(901, ledger.Dropped, 0).then(902, ledger.HeardBusy, none).then(4000, ledger.Dropped, 0), []ledger.Rule{ledger.TwoOut, ledger.AfterAnswer}},
 		"no answer from one killed":      {asks(0, 0).proxy(500, ledger.ProxyKilled), nil},
 		"a close for an answer":          {asks(0, 0).then(30, ledger.HeardNothing, none), []ledger.Rule{ledger.OneAnswer}},
 		"UP from nobody":                 {asks(0, 0).then(30, ledger.HeardUp, none).noted("UP x"), []ledger.Rule{ledger.OneAnswer}},
 		"late":                           {busy(asks(0, 0), 1060), []ledger.Rule{ledger.LateAnswer}},
 		"just in time":                   {busy(asks(0, 0), 1040), nil},
+		"sent for who had left":          {asks(0, 0).then(100, ledger.Left, none).sent(260, 0, 270, ledger.SaidBusy), []ledger.Rule{ledger.ForNobody}},
+		"sent just as it left":           {asks(0, 0).then(100, ledger.Left, none).sent(190, 0, 200, ledger.SaidBusy), nil},
 		"late as the rig stopped it":     {busy(asks(0, 0).proxy(100, ledger.ProxyStopped).proxy(1200, ledger.ProxyWoken), 1800), nil},
 		"two answers":                    {busy(asks(0, 0), 10).then(20, ledger.HeardMore, none), []ledger.Rule{ledger.AfterAnswer}},
 		"sent after the answer":          {busy(asks(0, 0), 10).sent(200, 0, 210, ledger.SaidBusy), []ledger.Rule{ledger.AfterAnswer}},
--- a/lab/ledger/ledger.go
+++ b/lab/ledger/ledger.go
@@ -84,6 +84,8 @@
 	// WayCut: nothing passes between a proxy and the servers of a zone, whose number is the Value; WayBack: it does again.
 	WayCut
 	WayBack
+	// Connected: the client's connection came up, where it rested before it asked.
+	Connected
 )
 
 var words = [...]string{
@@ -99,7 +101,8 @@
 	LineChanged: "a line was changed", Told: "discovery told", TippedOver: "a cold server tipped over",
 	ProxyKilled: "the proxy was killed", ProxyBack: "the proxy is back", ProxyStopped: "the proxy was stopped",
 	ProxyWoken: "the proxy was woken", Trouble: "trouble", CarriedAsk: "it stood before the run",
-	WayCut: "the proxy's ways to a zone were cut", WayBack: "the proxy's ways to a zone were back",
+	Connected: "the client connected, and rested",
+	WayCut:    "the proxy's ways to a zone were cut", WayBack: "the proxy's ways to a zone were back",
 }
 
 func (k Kind) String() string { return words[k] }
--- a/lab/load/session.go
+++ b/lab/load/session.go
@@ -31,6 +31,8 @@
 	Rejoin  Micros  // after a break or a move clients come again within this
 	Return  Micros  // one that has used its retries up comes again after this, on average; 0 for never
 	Every   Micros  // how often a client sends a line
+	Leave   float64 // the share of requests that the client gives up early, by closing
+	Rest    float64 // the share of requests on connections that rested first
 	Marks   bool    // retries are marked r=1
 	Skew    float64 // the share of clients in the first zone; the others' are equal
 	Zones   int
@@ -228,7 +230,16 @@
 		s.tally.Refused.Add(1)
 		return failed, 0
 	}
+	leaves := at == nil && s.rng.Float64() < s.habits.Leave
 	id := ledger.ID(s.rng.Uint64() | 1)
+	if at == nil && s.rng.Float64() < s.habits.Rest {
+		connected := s.book.Now()
+		if !s.rest() {
+			_ = conn.Close()
+			return failed, 0
+		}
+		s.book.Write(ledger.Event{At: connected, Kind: ledger.Connected, ID: id, Server: ledger.None, Proxy: proxy, Product: ledger.None})
+	}
 	text := fmt.Sprintf("OPEN %016x %016x c=%s,d=%d", uint64(id), s.Key, p.Name, limit/ledger.Millisecond)
 	if s.Group != 0 {
 		text += fmt.Sprintf(",g=%x", s.Group)
@@ -253,6 +264,9 @@
 	}
 	s.book.Write(asked)
 	_ = conn.SetReadDeadline(s.book.Time(Micros(asked.Value) + patience))
+	if leaves {
+		_ = conn.SetReadDeadline(s.book.Time(asked.At + Micros(s.rng.Float64()*float64(limit)/2)))
+	}
 	in := &lines{in: bufio.NewReaderSize(conn, 512)}
 	line, err := in.next()
 	took := s.now() - meant
@@ -261,6 +275,7 @@
 	}
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = conn.Close()
 			s.note(ledger.Left, id, "no answer had come")
 		} else {
 			s.note(ledger.HeardNothing, id, err.Error())
@@ -299,6 +314,14 @@
 	return failed, 0
 }
 
+// longestRest is a little more than a proxy waits for a first line.
+const longestRest = 2700 * ledger.Millisecond
+
+// rest waits before a request is sent on a connection; false if the run is over by then.
+func (s *session) rest() bool {
+	return s.sleep(s.now() + Micros(s.rng.Float64()*float64(longestRest)))
+}
+
 func (s *session) note(k ledger.Kind, id ledger.ID, note string) {
 	s.book.Write(ledger.Event{Kind: k, ID: id, Server: ledger.None, Proxy: ledger.None, Product: ledger.None, Note: note})
 }
