--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -84,7 +84,13 @@
 	require.NoError(t, free.Close())
 	b, err := opening.Lines(text).Balancer(7)
 	require.NoError(t, err)
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	lines := &kept{}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the proxy's log:\n%s", lines.tail(200))
+		}
+	})
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	p := proxy.New(log, b, s.listen, discovery.At(list.Address(), time.Second), nil, []string{"chat", "pay"},
 		[]logic.Micros{1500 * logic.Millisecond, 1500 * logic.Millisecond}, []string{"a"}, []string{"m"},
 		250*logic.Millisecond, 50*logic.Millisecond, sockets)
--- a/internal/proxy/trace_test.go
+++ b/internal/proxy/trace_test.go
@@ -31,6 +31,14 @@
 	return strings.Contains(k.text.String(), words)
 }
 
+// tail is the end of the log.
+func (k *kept) tail(lines int) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	all := strings.Split(strings.TrimSpace(k.text.String()), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
 // steps are what the log tells of attachments, in order.
 func (k *kept) steps() (steps []string) {
 	k.mu.Lock()
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -149,6 +149,7 @@
 	length  ledger.Micros
 	steps   []fleet.Step
 	crowds  map[[2]int]func() // by step and proxy: what ends them
+	ways    *ways             // between proxies and servers; nil where none is in trouble
 	busy    sync.WaitGroup    // troubles of proxies under way
 	marks   []Mark
 	faultMu sync.Mutex
@@ -198,6 +199,9 @@
 		}
 		r.proxies = append(r.proxies, i)
 	}
+	if err := r.layWays(); err != nil {
+		return err
+	}
 	if r.Control.Agents > 0 {
 		return r.startAgents(ctx)
 	}
@@ -228,6 +232,9 @@
 		})
 	}
 	ending.Wait()
+	if r.ways != nil {
+		r.ways.net.Close()
+	}
 }
 
 // route says where clients connect.
@@ -481,6 +488,8 @@
 				return err
 			}
 			i.signal(syscall.SIGHUP)
+		case strings.HasPrefix(s.Kind, "way-"):
+			r.ways.suffer(r, s, n, ends)
 		case strings.HasPrefix(s.Kind, "calls-") && !ends:
 			fault := callFaults[s.Kind]
 			fault.Chance = s.Size
--- a/lab/fleet/server.go
+++ b/lab/fleet/server.go
@@ -87,8 +87,11 @@
 	return nil
 }
 
-// reopen listens again where it did.
+// reopen listens again where it did, unless it does already: troubles may overlap.
 func (s *Server) reopen() error {
+	if len(s.listeners) > 0 {
+		return nil
+	}
 	for zone, at := range s.addresses {
 		l, err := net.Listen("tcp", at)
 		if err != nil {
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -52,7 +52,10 @@
 	"proxy-leave":  "proxies get SIGTERM, and start again when the time is over",
 	"proxy-retire": "proxies get SIGTERM, further signals after it, and SIGKILL at the earliest that the protocol allows; they start again when both are over",
 	"proxy-series": "proxies get SIGHUP several times, with configurations that are torn, and whole at last",
-	"proxy-crowd":  "SIZE idle connections at each proxy, which come again when they are closed",
+	"way-cut":      "nothing passes between proxies and the servers of a zone, whose number is SIZE, in silence",
+	"way-reset":    "all connections between proxies and the servers of a zone, whose number is SIZE, are reset, once",
+
+	"proxy-crowd": "SIZE idle connections at each proxy, which come again when they are closed",
 
 	"calls-accept":  "proxies' accepts fail, each with chance SIZE; likewise the kinds below",
 	"calls-socket":  "no socket is had",
@@ -93,7 +96,7 @@
 
 // OfProxies tells whether a kind is for who runs the proxies, and its numbers are theirs.
 func OfProxies(kind string) bool {
-	return strings.HasPrefix(kind, "proxy-") || strings.HasPrefix(kind, "calls-") || kind == "list-moved"
+	return strings.HasPrefix(kind, "proxy-") || strings.HasPrefix(kind, "calls-") || strings.HasPrefix(kind, "way-") || kind == "list-moved"
 }
 
 // OfAgents tells whether a kind is for who speaks with the agents.
@@ -303,6 +306,9 @@
 	case "resets":
 		s.fault.resets = 0
 	case "refuse":
+		if s.down {
+			return nil // another trouble has stopped it
+		}
 		return s.reopen()
 	case "vanish":
 		s.fault.gone = false
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -64,6 +64,8 @@
 	{kind: "restart", share: 0.3, ofServers: true},
 	{kind: "drain", least: 1, most: 2, share: 0.3, ofServers: true},
 	{kind: "slow", least: 2, most: 8, share: 0.3, ofServers: true},
+	{kind: "way-cut", least: 0, most: 1.99, share: 0.4},
+	{kind: "way-reset", least: 0, most: 1.99, share: 0.6},
 	{kind: "list-down", ofList: true},
 	{kind: "list-garbage", ofList: true},
 }
@@ -134,7 +136,7 @@
 func (d *drawing) trouble(f fault) string {
 	at := time.Duration(d.between(0.2, d.size.Length.Seconds()*0.7) * 1e9).Round(time.Millisecond)
 	lasts := time.Duration(d.between(0.5, d.size.Length.Seconds()*0.35) * 1e9).Round(time.Millisecond)
-	if f.kind == "drop" || f.kind == "proxy-series" {
+	if f.kind == "drop" || f.kind == "proxy-series" || f.kind == "way-reset" {
 		lasts = 100 * time.Millisecond
 	}
 	if f.kind == "proxy-stop" {
