Who cannot be registered at once holds nobody up at the door; a route missing for a moment is tried again

Audit of the class: the acceptor waited up to 1 s for one connection that the loop did not take, with the others behind it; a route that is missing for a moment used up a request's attempts within a millisecond. Both retried beside, briefly. internal/proxy, internal/listen, cmd/hatchproxy pass.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -21,7 +21,7 @@
 	opening = 5 * time.Second
 	// firstRetry and longestRetry pace the retries: who waits at the door is served soon after the failure has passed.
 	firstRetry   = 2 * time.Millisecond
-	longestRetry = 100 * time.Millisecond
+	longestRetry = 25 * time.Millisecond
 )
 
 // backoff is how retries are paced.
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -112,12 +112,21 @@
 	}
 }
 
+// mostUnreachable is how often a dial is made again that finds no way: some 7 ms in all.
+const mostUnreachable = 3
+
 // reach dials a server and has the loop take the connection for a side. While this machine has no socket to spare, or the
 // loop's poller no room, it goes on trying until the context ends: that says nothing of the server, and uses up no attempt.
 func (p *Proxy) reach(ctx context.Context, side any, endpoint string) error {
 	wait := transient.Backoff{First: time.Millisecond, Longest: 50 * time.Millisecond}
+	unreachable := 0
 	passes := func(err error) bool {
 		local := transient.OfResources(err) || errors.Is(err, errNotRegistered)
+		if errors.Is(err, unix.ENETUNREACH) {
+			// A route of this machine that is missing for a moment, or the server's own: then another one is the better try.
+			unreachable++
+			local = unreachable <= mostUnreachable
+		}
 		if local && ctx.Err() == nil {
 			p.post(func() { p.counts.DialRetries++ })
 			p.log.Debug("a dial is made again", "server", endpoint, "error", err)
--- a/internal/proxy/register.go
+++ b/internal/proxy/register.go
@@ -19,8 +19,9 @@
 // report.
 var errNotRegistered = errors.New("the event loop did not take a connection")
 
-// registering is how long a connection that was accepted is tried to be registered; then its client is turned away.
-const registering = time.Second
+// registering is how long a connection that was accepted is tried to be registered; then its client is turned away, while
+// it still has time to try elsewhere.
+const registering = 250 * time.Millisecond
 
 // registration is a connection's context until the loop has opened it.
 type registration struct {
@@ -51,31 +52,35 @@
 	return nil
 }
 
-// registerFirmly does the same with a connection's descriptor, again while calls fail for a moment. One that cannot be
+// registerFirmly does the same once more with a connection's descriptor, again while calls fail for a moment. One that cannot be
 // registered for a while is ended with a word. Guards against a client's connection that is closed without one, though
 // its request may have come. The file is closed in any case.
 func (p *Proxy) registerFirmly(side any, file *os.File, word []byte) error {
 	defer file.Close()
 	ctx, cancel := context.WithTimeout(p.ctx, registering)
 	defer cancel()
-	tries := 0
-	err := transient.Retry(ctx, transient.Backoff{First: time.Millisecond, Longest: 50 * time.Millisecond}, always, func() error {
-		if tries++; tries > 1 {
-			p.post(func() { p.counts.RegisterRetries++ })
-		}
-		conn, err := net.FileConn(file)
-		if err != nil {
-			return err
-		}
-		return p.register(side, conn)
+	err := transient.Retry(ctx, transient.Backoff{First: time.Millisecond, Longest: 20 * time.Millisecond}, always, func() error {
+		p.post(func() { p.counts.RegisterRetries++ })
+		return p.registerFile(side, file)
 	})
+	if err != nil && p.ctx.Err() == nil {
+		p.log.Warn("a connection is turned away, as it cannot be registered", "error", err)
+	}
 	if err != nil {
-		p.log.Warn("a connection is turned away, as it cannot be registered", "error", err, "tries", tries)
 		turnAway(file, word)
 	}
 	return err
 }
 
+// registerFile registers a duplicate of a descriptor, which stays the caller's.
+func (p *Proxy) registerFile(side any, file *os.File) error {
+	conn, err := net.FileConn(file)
+	if err != nil {
+		return err
+	}
+	return p.register(side, conn)
+}
+
 func always(error) bool { return true }
 
 // turnAway says a last word on a connection that the loop never had. The file is closed by its owner.
@@ -93,5 +98,11 @@
 
 // acceptClient has the loop take a client's connection.
 func (p *Proxy) acceptClient(file *os.File) {
-	_ = p.registerFirmly(&client{came: p.now()}, file, protocol.Refusal(0)) // it was told
+	c := &client{came: p.now()}
+	if err := p.registerFile(c, file); err == nil {
+		_ = file.Close()
+		return
+	}
+	// Beside the acceptor: those behind it at the door are not held up.
+	go func() { _ = p.registerFirmly(c, file, protocol.Refusal(0)) }() // what fails was logged, and the client told
 }
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -366,6 +366,10 @@
 // only a client hears.
 func (p *Proxy) enroll(side any, conn *os.File, word []byte) {
 	go func() {
+		if p.registerFile(side, conn) == nil {
+			_ = conn.Close()
+			return
+		}
 		if err := p.registerFirmly(side, conn, word); err != nil && p.ctx.Err() == nil {
 			p.post(func() { p.notTakenOver(side) })
 		}
