A start outlasts any failed registration, and ends in good order when it is called off

Seen: with the fifteenth epoll_ctl of a process failing once, it hung for good: the library reported the loop's first connection as taken, and the start waited for a turn that never came. A process that was told to leave while its address was taken went on trying for 5 s. Both by tests seen red before this change. Change: the start looks whether the loop had its first connection and tries again; a phase decides between calling a start off and leaving. cmd/hatchproxy, internal/proxy pass.

--- a/cmd/hatchproxy/faults_test.go
+++ b/cmd/hatchproxy/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -48,11 +49,12 @@
 
 // launch is how a proxy's process is started.
 type launch struct {
-	answer string // of the server
-	groups []sysfault.Call
-	faults []sysfault.Fault // that hold from the first system call on
-	admin  string           // the operators' address; none if empty
-	stderr *os.File         // in place of a file
+	answer  string // of the server
+	groups  []sysfault.Call
+	faults  []sysfault.Fault // that hold from the first system call on
+	admin   string           // the operators' address; none if empty
+	address string           // the clients'; a free one if empty
+	stderr  *os.File         // in place of a file
 }
 
 // newFaultedProxy starts a proxy before a server that answers so; faults hold from the first system call on.
@@ -76,7 +78,7 @@
 	require.NoError(t, err)
 	list.Set("s1", server.Address, "ready")
 	folder := t.TempDir()
-	p := &faultedProxy{t: t, address: freeAddress(t), list: list, ended: make(chan struct{}), log: filepath.Join(folder, "log"),
+	p := &faultedProxy{t: t, address: cmp.Or(l.address, freeAddress(t)), list: list, ended: make(chan struct{}), log: filepath.Join(folder, "log"),
 		config: filepath.Join(folder, "config.json")}
 	p.configure(list, l.admin)
 	log, err := os.Create(p.log)
@@ -197,6 +199,39 @@
 	}
 }
 
+// Whichever one registration with a poller fails at the start, after the runtime's own first one: the process serves.
+func TestAStartOutlastsAnyRegistrationThatFails(t *testing.T) {
+	for skip := 1; skip <= 24; skip++ {
+		t.Run(fmt.Sprint("number ", skip+1), func(t *testing.T) {
+			t.Parallel()
+			p := newFaultedProxy(t, "UP a", []sysfault.Call{sysfault.Control}, sysfault.Fault{Call: sysfault.Control, Chance: 1, Skip: skip, Most: 1})
+			p.ready()
+			line, err := p.answers("OPEN 1 2 c=chat,d=1000", 2*time.Second)
+			require.NoError(t, err)
+			require.Equal(t, "UP a\r\n", line)
+		})
+	}
+}
+
+// A process that is told to end while its address is still taken ends in good order.
+func TestAStartThatIsCalledOffEndsInGoodOrder(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	p := launch{answer: "UP a", groups: []sysfault.Call{sysfault.Accept}, address: taken.Addr().String()}.start(t)
+	require.Eventually(t, func() bool {
+		text, err := os.ReadFile(p.log)
+		return err == nil && strings.Contains(string(text), "listening fails")
+	}, 3*time.Second, 5*time.Millisecond)
+	require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-p.ended:
+		require.True(t, p.command.ProcessState.Success(), "%s", p.command.ProcessState)
+	case <-time.After(2 * time.Second):
+		require.Fail(t, "it never ended")
+	}
+}
+
 // A socket that this machine cannot have for a moment says nothing of the server that it was for.
 func TestADialThatFailsForWantOfResourcesIsTriedAgainInTime(t *testing.T) {
 	for group, errnos := range map[sysfault.Call][]syscall.Errno{
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -30,10 +30,10 @@
 func (p *Proxy) Run(leave, again <-chan os.Signal, reread func() (Renewal, error)) error {
 	defer p.stop()
 	p.reread = reread
-	go p.handle(leave, func() { p.post(p.leave) })
+	go p.handle(leave, p.leaveOrCallOff)
 	go p.handle(again, p.reload)
 	if err := p.openListener(); err != nil {
-		return err
+		return p.unlessCalledOff(err)
 	}
 	defer p.acceptor.Close()
 	if p.heritage != nil {
@@ -41,7 +41,11 @@
 	}
 	loop, err := p.startLoop()
 	if err != nil {
-		return err
+		return p.unlessCalledOff(err)
+	}
+	if !p.phase.CompareAndSwap(isStarting, isServing) {
+		stopLoop(loop)
+		return p.unlessCalledOff(nil)
 	}
 	if p.heritage == nil {
 		p.acceptor.Resume()
@@ -54,10 +58,25 @@
 	return p.fault
 }
 
+// The phases of a start.
+const (
+	isStarting int32 = iota
+	isServing
+	isCalledOff
+)
+
+// leaveOrCallOff has a proxy that serves leave, and a start that is not through yet end.
+func (p *Proxy) leaveOrCallOff() {
+	if p.phase.CompareAndSwap(isStarting, isCalledOff) {
+		p.stop()
+		return
+	}
+	p.post(p.leave)
+}
+
 // handle has each signal of one kind handled, one after the other. Kinds do not wait for each other: a file that cannot be
 // read for a moment must not put the word to leave off.
 func (p *Proxy) handle(signals <-chan os.Signal, call func()) {
-	<-p.started
 	for {
 		select {
 		case <-signals:
@@ -74,6 +93,15 @@
 	}
 }
 
+// unlessCalledOff is a failed start's error, or nil where the process was told to leave meanwhile.
+func (p *Proxy) unlessCalledOff(err error) error {
+	if p.ctx.Err() != nil {
+		p.log.Info("called off before it served")
+		return nil
+	}
+	return err
+}
+
 // openListener listens where the platform's socket was not inherited.
 func (p *Proxy) openListener() error {
 	if p.acceptor != nil {
@@ -120,25 +148,33 @@
 	if err != nil {
 		return nil, err
 	}
-	err = transient.Retry(ctx, wait, transient.OfResources, func() error {
-		own, other, err := pair()
-		if err != nil {
-			return err
-		}
-		if _, err := loop.EnrollContext(own, &anchor{other}); err != nil {
-			_ = other.Close()
-			return err
-		}
-		return nil
-	})
-	if err != nil {
+	passes := func(err error) bool { return transient.OfResources(err) || errors.Is(err, errNotRegistered) }
+	if err := transient.Retry(ctx, wait, passes, func() error { return p.anchorLoop(loop) }); err != nil {
 		stopLoop(loop)
 		return nil, err
 	}
-	<-p.started
 	return loop, nil
 }
 
+// anchorLoop gives the loop its first connection.
+func (p *Proxy) anchorLoop(loop *gnet.Client) error {
+	own, other, err := pair()
+	if err != nil {
+		return err
+	}
+	if _, err := loop.EnrollContext(own, &anchor{other}); err != nil {
+		_ = other.Close()
+		return err
+	}
+	select {
+	case <-p.started:
+		return nil
+	default: // its poller did not take the connection, which is not reported
+		_ = other.Close()
+		return errNotRegistered
+	}
+}
+
 const readBuffer, writeBuffer = 16 << 10, 16 << 10
 
 func stopLoop(loop *gnet.Client) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,6 +35,7 @@
 	fault    error         // why it could not go on
 	ended    chan struct{} // closed once it is to end
 	finished sync.Once     // guards ended
+	phase    atomic.Int32  // of the start
 	acceptor *acceptor     // of clients; nil until its address is had
 	started  chan struct{} // closed once the loop is known
 	begin    time.Time
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
@@ -13,6 +15,7 @@
 	"hatchproxy/internal/notes"
 	"hatchproxy/internal/protocol"
 	"hatchproxy/internal/succession"
+	"hatchproxy/internal/transient"
 	"hatchproxy/logic"
 )
 
@@ -33,7 +36,14 @@
 		return fmt.Errorf("descriptor %d is none", fd)
 	}
 	defer f.Close()
-	l, err := net.FileListener(f)
+	var l net.Listener
+	ctx, cancel := context.WithTimeout(p.ctx, loopStarting)
+	defer cancel()
+	wait := transient.Backoff{First: 2 * time.Millisecond, Longest: 100 * time.Millisecond}
+	err := transient.Retry(ctx, wait, transient.OfResources, func() (err error) {
+		l, err = net.FileListener(f)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("descriptor %d: %w", fd, err)
 	}
--- a/lab/sysfault/sysfault.go
+++ b/lab/sysfault/sysfault.go
@@ -64,6 +64,7 @@
 	Errors []syscall.Errno // none: Usual
 	Short  bool            // reads and writes of sockets transfer a part instead of failing
 	Chance float64         // of each call, 0 to 1
+	Skip   int             // how many calls pass first
 	Most   int             // how many calls fail at most; 0 for no bound
 }
 
@@ -145,7 +146,14 @@
 	defer s.mu.Unlock()
 	for n := 1; n <= s.last; n++ { // in the order in which they began: a map's order is chance that no seed holds
 		f := s.faults[n]
-		if f == nil || !f.holds(number) || s.random.Float64() >= f.Chance {
+		if f == nil || !f.holds(number) {
+			continue
+		}
+		if f.Skip > 0 {
+			f.Skip--
+			continue
+		}
+		if s.random.Float64() >= f.Chance {
 			continue
 		}
 		if f.Short {
--- a/lab/sysfault/sysfault_test.go
+++ b/lab/sysfault/sysfault_test.go
@@ -175,7 +175,8 @@
 
 func TestAFaultEndsAfterSoManyFailures(t *testing.T) {
 	c := newChild(t, sysfault.Socket)
-	c.shim.Begin(sysfault.Fault{Call: sysfault.Socket, Errors: []syscall.Errno{unix.ENOBUFS}, Chance: 1, Most: 2})
+	c.shim.Begin(sysfault.Fault{Call: sysfault.Socket, Errors: []syscall.Errno{unix.ENOBUFS}, Chance: 1, Skip: 1, Most: 2})
+	require.Equal(t, "moved 0", c.call("socket"))
 	require.Equal(t, "ENOBUFS", c.call("socket"))
 	require.Equal(t, "ENOBUFS", c.call("socket"))
 	require.Equal(t, "moved 0", c.call("socket"))
