--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -37,7 +37,7 @@
 	}
 	defer f.Close()
 	var l net.Listener
-	ctx, cancel := context.WithTimeout(p.ctx, loopStarting)
+	ctx, cancel := context.WithTimeout(context.Background(), loopStarting)
 	defer cancel()
 	wait := transient.Backoff{First: 2 * time.Millisecond, Longest: 100 * time.Millisecond}
 	err := transient.Retry(ctx, wait, transient.OfResources, func() (err error) {
