--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -31,7 +31,7 @@
 func (p *Proxy) answer(c *client, ending telemetry.Ending, line []byte, why string) {
 	if !c.request.Over() {
 		p.say(c, ending, line, why)
-		p.lastWord(c)
+		p.closeAnswered(c)
 	}
 }
 
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/attempt.go
@@ -35,8 +35,8 @@
 	probe    *probe
 }
 
-// dispatch is one try at a server. It owns the connection to it, from the dial on.
-type dispatch struct {
+// attempt is one try at a server. It owns the connection to it, from the dial on.
+type attempt struct {
 	client *client
 	server *server
 	talk   protocol.Server
@@ -51,27 +51,27 @@
 
 // written tells whether the last byte of the line may have gone to the server. The kernel takes a line in parts, or later:
 // what it has not taken is still in the connection's buffer, and goes out on its own time.
-func (d *dispatch) written() bool { return d.sent && d.conn.OutboundBuffered() == 0 }
+func (d *attempt) written() bool { return d.sent && d.conn.OutboundBuffered() == 0 }
 
-// unsent is the outcome of a dispatch that ends before the server has said anything: one whose line is not out whole has
+// unsent is the outcome of a attempt that ends before the server has said anything: one whose line is not out whole has
 // never run, and never will, as drop and serverEnded see to.
-func (d *dispatch) unsent(otherwise logic.Outcome) logic.Outcome {
+func (d *attempt) unsent(otherwise logic.Outcome) logic.Outcome {
 	if d.written() {
 		return otherwise
 	}
 	return logic.NoConnection
 }
 
-// Send starts a dispatch.
+// Send starts a attempt.
 func (p *Proxy) Send(id logic.AttachmentID, to logic.ServerID, wait logic.Micros) {
 	c := p.clients[id]
 	if c == nil {
 		return
 	}
-	p.dispatch(c, to, wait)
+	p.attempt(c, to, wait)
 }
 
-func (p *Proxy) dispatch(c *client, to logic.ServerID, wait logic.Micros) {
+func (p *Proxy) attempt(c *client, to logic.ServerID, wait logic.Micros) {
 	now := p.now()
 	if err := c.request.Start(now); err != nil {
 		p.violated(c, err)
@@ -82,12 +82,12 @@
 	if c.request.Attempts() > 1 {
 		p.counts.Retried(c.last.String())
 	}
-	d := &dispatch{client: c, server: p.servers[to], began: now, until: now + wait, ending: logic.Reset}
+	d := &attempt{client: c, server: p.servers[to], began: now, until: now + wait, ending: logic.Reset}
 	c.out = d
 	p.trace("sent", c, "server", d.server.uid)
 	var ctx context.Context
 	ctx, d.hang = context.WithCancel(p.ctx)
-	p.room(2) // those in use for requests leave room for what is not had here
+	p.makeRoom(2) // those in use for requests leave room for what is not had here
 	p.sockets += 2
 	p.at(d.until, func() {
 		if !d.over && !c.request.Stood() {
@@ -98,7 +98,7 @@
 }
 
 // dial runs beside the loop and hands it the connection, or word that there is none.
-func (p *Proxy) dial(ctx context.Context, d *dispatch, endpoint string, wait logic.Micros) {
+func (p *Proxy) dial(ctx context.Context, d *attempt, endpoint string, wait logic.Micros) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Microsecond)
 	defer cancel()
 	if err := p.reach(ctx, d, endpoint); err != nil {
@@ -143,7 +143,7 @@
 }
 
 // connected sends the line. A connection for what is over by now is closed.
-func (p *Proxy) connected(d *dispatch, conn gnet.Conn) gnet.Action {
+func (p *Proxy) connected(d *attempt, conn gnet.Conn) gnet.Action {
 	if c := d.client; c.request.Stood() {
 		return p.serverResumed(c, conn)
 	}
@@ -168,7 +168,7 @@
 // maySend decides, in the instant before a line would be written, whether it may be. The world may have changed since the
 // attempt began: the client may have left, its time be up, the server drain, a repeat be out of its window. An attempt
 // that may not be sent ends here, and has never run.
-func (p *Proxy) maySend(d *dispatch) bool {
+func (p *Proxy) maySend(d *attempt) bool {
 	c, now := d.client, p.now()
 	if err := c.request.Send(now, isPresent(c.conn)); err != nil {
 		var v *lifecycle.Violation
@@ -198,7 +198,7 @@
 	return n > 0 || errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
 }
 
-func (p *Proxy) serverSays(d *dispatch, b []byte) {
+func (p *Proxy) serverSays(d *attempt, b []byte) {
 	if c := d.client; c.request.Stood() && c.conn == nil {
 		c.early = append(c.early, b...)
 		return
@@ -213,7 +213,7 @@
 		}
 		switch ev {
 		case protocol.Up:
-			p.stood(d, pass)
+			p.established(d, pass)
 		case protocol.Full:
 			p.failed(d, logic.Full)
 		case protocol.Erred:
@@ -227,8 +227,8 @@
 	}
 }
 
-// stood passes the server's word on: the connection stands.
-func (p *Proxy) stood(d *dispatch, pass []byte) {
+// established passes the server's word on: the connection stands.
+func (p *Proxy) established(d *attempt, pass []byte) {
 	c, now := d.client, p.now()
 	if err := c.request.Establish(); err != nil {
 		p.violated(c, err)
@@ -248,8 +248,8 @@
 	p.passOn(c, pass)
 }
 
-// failed ends a dispatch that never stood and asks what to do now.
-func (p *Proxy) failed(d *dispatch, o logic.Outcome) {
+// failed ends a attempt that never established and asks what to do now.
+func (p *Proxy) failed(d *attempt, o logic.Outcome) {
 	c := d.client
 	p.trace("failed", c, "server", d.server.uid, "took_us", int64(p.now()-d.began), "outcome", uint8(o), "why", o.String())
 	p.drop(d)
@@ -262,29 +262,29 @@
 	p.in.Ended(p.now(), c.id, o, false)
 }
 
-// drop is where a dispatch that never stood gives back what it has. A dial that is still under way ends, and
+// drop is where a attempt that never established gives back what it has. A dial that is still under way ends, and
 // gives its socket back when it does.
-func (p *Proxy) drop(d *dispatch) {
+func (p *Proxy) drop(d *attempt) {
 	d.over = true
 	d.client.out = nil
 	d.hang()
 	d.talk.Drop()
 	if d.conn != nil {
-		p.shut(d.conn, d.cutShort())
+		p.shut(d.conn, d.cutUnsent())
 	}
 }
 
-// cutShort sees to it that no more of the line goes out. Guards against a dispatch that runs after it was given up: its
+// cutUnsent sees to it that no more of the line goes out. Guards against a attempt that runs after it was given up: its
 // client may be gone, or another be out. A half line is none, and what is still in the buffer would be written at the close.
-func (d *dispatch) cutShort() (cut bool) {
+func (d *attempt) cutUnsent() (cut bool) {
 	if cut = d.conn.OutboundBuffered() > 0; cut {
 		_ = syscall.Shutdown(d.conn.Fd(), syscall.SHUT_WR) // writes fail from now on; a failure says that they do
 	}
 	return cut
 }
 
-// serverEnded tells how a dispatch or a standing connection ended, and ends the client's side in the same way.
-func (p *Proxy) serverEnded(d *dispatch, reset bool) {
+// serverEnded tells how a attempt or a standing connection ended, and ends the client's side in the same way.
+func (p *Proxy) serverEnded(d *attempt, reset bool) {
 	if d.over {
 		return
 	}
@@ -295,21 +295,21 @@
 		if d.ending == logic.OK {
 			by = byService
 		}
-		p.unseat(c, by)
+		p.endEstablished(c, by)
 		p.in.Ended(p.now(), c.id, d.ending, true)
 		if reset {
 			p.shut(c.conn, true)
 		} else {
-			p.lastWord(c)
+			p.closeAnswered(c)
 		}
 	default:
 		p.failed(d, d.unsent(logic.Reset))
 	}
 }
 
-// unseat is where a standing connection gives back what it has, but for the two sockets, which the caller
+// endEstablished is where a standing connection gives back what it has, but for the two sockets, which the caller
 // shuts.
-func (p *Proxy) unseat(c *client, by string) {
+func (p *Proxy) endEstablished(c *client, by string) {
 	d := c.out
 	p.trace("ended", c, "by", by)
 	p.counts.Closed(by)
@@ -320,7 +320,7 @@
 	p.release(c)
 }
 
-// restoring is the wait before a connection that stood before this proxy did is tried again at its server.
+// restoring is the wait before a connection that established before this proxy did is tried again at its server.
 const (
 	restoring = 100 * millisecond
 	// longestRestore is as long as the protocol has all such connections come up at the start.
@@ -339,6 +339,6 @@
 	case p.servers[discovery.ID(c.talk.Stands)] == nil:
 		p.after(restoring, func() { p.restore(c) })
 	default:
-		p.dispatch(c, discovery.ID(c.talk.Stands), c.at.Limit-now)
+		p.attempt(c, discovery.ID(c.talk.Stands), c.at.Limit-now)
 	}
 }
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -19,14 +19,14 @@
 	"hatchproxy/logic"
 )
 
-// client is an accepted connection and what came of it. It owns its socket and its dispatch.
+// client is an accepted connection and what came of it. It owns its socket and its attempt.
 type client struct {
 	conn    gnet.Conn
 	talk    protocol.Client
 	id      logic.AttachmentID // 0 until it has asked
 	class   string             // what it asked for, once that is known to be offered
 	at      *logic.Attachment
-	out     *dispatch // on its way, or where the connection stands
+	out     *attempt // on its way, or where the connection stands
 	request lifecycle.Request
 	last    logic.Outcome // of its last attempt that ended
 	queue   *list.List    // the proxy's silent or done, while it stands in one of them
@@ -60,17 +60,17 @@
 	switch {
 	case c.request.Stood():
 		p.serverSays(c.out, early)
-	case !p.room(0):
+	case !p.makeRoom(0):
 		p.full++
 		p.refuse(c, noDescriptors)
 	default:
-		p.awaitAsking(c)
+		p.awaitRequest(c)
 		p.clientSays(c, early)
 	}
 	return gnet.None
 }
 
-func (p *Proxy) awaitAsking(c *client) {
+func (p *Proxy) awaitRequest(c *client) {
 	c.wait(&p.silent)
 	p.at(c.came+asking, func() {
 		if c.queue == &p.silent {
@@ -92,10 +92,10 @@
 	}
 }
 
-// room sees to it that n more descriptors are left. Guards against the hundreds that connect and say nothing, or do
+// makeRoom sees to it that n more descriptors are left. Guards against the hundreds that connect and say nothing, or do
 // not leave once they were answered: those that were answered first go first, then those that have been silent
 // longest. False where all descriptors are in use for requests.
-func (p *Proxy) room(n int) bool {
+func (p *Proxy) makeRoom(n int) bool {
 	for p.sockets+n > p.most {
 		first := p.done.Front()
 		if first == nil {
@@ -110,7 +110,7 @@
 			p.say(c, telemetry.Deferred, protocol.Refusal(0), noDescriptors)
 		}
 		if isOpen(c.conn) {
-			emptyOut(c.conn.Fd())
+			discardInput(c.conn.Fd())
 			// At once, where gnet's own Close would wait for the loop's next turn. What ends here has nothing to tell.
 			_ = p.loop.Close(c.conn)
 		}
@@ -118,9 +118,9 @@
 	return true
 }
 
-// emptyOut reads what has come on a connection that is about to be closed, and nobody will hear. Guards against a close over
+// discardInput reads what has come on a connection that is about to be closed, and nobody will hear. Guards against a close over
 // unread bytes, which is a reset and may overtake the last word. A flood is not read to its end.
-func emptyOut(fd int) {
+func discardInput(fd int) {
 	var unheard [16 << 10]byte
 	for range 4 {
 		if n, err := syscall.Read(fd, unheard[:]); n <= 0 || err != nil {
@@ -143,12 +143,12 @@
 		switch ev {
 		case protocol.Probed:
 			word := protocol.NotReady
-			if p.ready && (p.duty == serving || p.duty == leaving && p.inherits()) {
+			if p.ready && (p.duty == serving || p.duty == leaving && p.hasSuccessor()) {
 				word = protocol.Ready
 			}
 			_, _ = c.conn.Write(word) // a failure comes as the end of the connection
 		case protocol.Asked:
-			p.arrived(c)
+			p.requestArrived(c)
 		case protocol.ClientWrong:
 			p.abandon(c)
 			p.wrong(c, c.talk.Why)
@@ -166,8 +166,8 @@
 	p.answer(c, telemetry.Errored, protocol.Fault(why), "not the protocol")
 }
 
-// arrived takes an attachment in hand.
-func (p *Proxy) arrived(c *client) {
+// requestArrived takes an attachment in hand.
+func (p *Proxy) requestArrived(c *client) {
 	now := p.now()
 	offered, known := p.offers[c.talk.Product]
 	if known {
@@ -185,7 +185,7 @@
 	case p.refusing:
 		p.refuse(c, isLeaving)
 		return
-	case !p.room(2): // a dispatch takes two descriptors for a moment
+	case !p.makeRoom(2): // a attempt takes two descriptors for a moment
 		p.full++
 		p.refuse(c, noDescriptors)
 		return
@@ -209,7 +209,7 @@
 	p.clients[c.id] = c
 	effect := p.in.Effect(offered.product)
 	if c.talk.Stands != "" {
-		effect = logic.Harmless // what stood before goes back to where it was
+		effect = logic.Harmless // what established before goes back to where it was
 	}
 	if err := c.request.Take(effect, c.at.Limit); err != nil {
 		p.violated(c, err)
@@ -224,7 +224,7 @@
 	p.in.Arrived(now, c.at)
 }
 
-// pass asks the gate whether an attachment is let in. Connections that stood before this proxy did always are.
+// pass asks the gate whether an attachment is let in. Connections that established before this proxy did always are.
 func (p *Proxy) pass(now logic.Micros, c *client) (limits.Why, logic.Micros) {
 	if p.gate == nil || c.talk.Stands != "" {
 		return limits.None, 0
@@ -250,11 +250,11 @@
 	return 0
 }
 
-// lastWord has a client leave that has had its last word.
-func (p *Proxy) lastWord(c *client) {
+// closeAnswered has a client leave that has had its last word.
+func (p *Proxy) closeAnswered(c *client) {
 	if isOpen(c.conn) {
 		c.wait(&p.done)
-		p.bow(c.conn, p.now()+second)
+		p.closeGracefully(c.conn, p.now()+second)
 	}
 }
 
@@ -272,7 +272,7 @@
 	}
 }
 
-// abandon tells the decisions that a client is gone, and ends its dispatch if one is out.
+// abandon tells the decisions that a client is gone, and ends its attempt if one is out.
 func (p *Proxy) abandon(c *client) {
 	if c.id == 0 {
 		return
@@ -291,12 +291,12 @@
 		return
 	}
 	if c.request.Stood() {
-		p.unseat(c, byClient)
+		p.endEstablished(c, byClient)
 		p.in.ClientLeft(p.now(), c.id)
 		if reset {
 			p.shut(c.out.conn, true)
 		} else {
-			p.bow(c.out.conn, p.now()+second)
+			p.closeGracefully(c.out.conn, p.now()+second)
 		}
 		return
 	}
@@ -337,13 +337,13 @@
 	_ = conn.Close()
 }
 
-// bow ends a connection after the last word to the other side: it ends the sending, and closes once that side has, or
+// closeGracefully ends a connection after the last word to the other side: it ends the sending, and closes once that side has, or
 // after a second. Guards against a reset for what that side still sends, which may overtake the word.
-func (p *Proxy) bow(conn gnet.Conn, latest logic.Micros) {
+func (p *Proxy) closeGracefully(conn gnet.Conn, latest logic.Micros) {
 	switch {
 	case !isOpen(conn):
 	case conn.OutboundBuffered() > 0 && p.now() < latest:
-		p.after(10*millisecond, func() { p.bow(conn, latest) })
+		p.after(10*millisecond, func() { p.closeGracefully(conn, latest) })
 	default:
 		_ = syscall.Shutdown(conn.Fd(), syscall.SHUT_WR) // a failure comes as the end of the connection
 		p.after(second, func() { p.shut(conn, false) })
--- a/internal/proxy/follow_test.go
+++ b/internal/proxy/follow_test.go
@@ -44,7 +44,7 @@
 	require.Empty(t, servers[0].Lines())
 }
 
-// A dispatch was dialled when its server began to drain, and the connection came up when that had long been told.
+// A attempt was dialled when its server began to drain, and the connection came up when that had long been told.
 func TestNothingIsWrittenToAServerThatDrainsWhenTheDialComesUp(t *testing.T) {
 	hold, dialled, release := heldDials()
 	s, servers := playBook(t, unprobed, 1024, hold, "UP a")
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/handover.go
@@ -19,13 +19,13 @@
 	"hatchproxy/logic"
 )
 
-// heritage is what a proxy has whose listening socket is the platform's: it is one of two processes now and then.
-type heritage struct {
-	folder string // where the two find each other; "" for nowhere
-	seat   *succession.Seat
-	before *succession.Channel // to the process that ran already; nil if there is none
-	heir   *succession.Channel // to the one that has come to take this one's place
-	ready  bool                // the heir can serve
+// handover is what a proxy has whose listening socket is the platform's: it is one of two processes now and then.
+type handover struct {
+	folder      string // where the two find each other; "" for nowhere
+	seat        *succession.Seat
+	predecessor *succession.Channel // to the process that ran already; nil if there is none
+	successor   *succession.Channel // to the one that has come to take this one's place
+	ready       bool                // the successor can serve
 }
 
 // Inherit has the proxy accept on a listening socket that it was given, and pass on what it holds to the next
@@ -52,31 +52,31 @@
 		_ = l.Close()
 		return fmt.Errorf("descriptor %d listens for %s, not for TCP", fd, l.Addr().Network())
 	}
-	p.heritage = &heritage{folder: folder}
+	p.handover = &handover{folder: folder}
 	return p.acceptOn(tcp)
 }
 
 // accept takes connections in until it is told to stop; what comes later waits for whoever accepts next.
 func (p *Proxy) accept() {
-	h := p.heritage
+	h := p.handover
 	// Guards against two at the door: each answer of the list comes here.
 	if h == nil || !p.acceptor.Paused() || h.ready || p.duty == leaving || !p.ready {
 		return
 	}
 	p.acceptor.Resume()
 	p.takeSeat()
-	if h.before != nil {
-		p.sayNext(h.before, packet{Ready: true})
+	if h.predecessor != nil {
+		p.sayNext(h.predecessor, packet{Ready: true})
 	}
 }
 
 // takeSeat has the next process find this one.
 func (p *Proxy) takeSeat() {
-	h := p.heritage
+	h := p.handover
 	if h.seat != nil || h.folder == "" || p.duty == leaving || p.acceptor.Paused() {
 		return
 	}
-	seat, err := succession.Take(h.folder, p.log, func(c *succession.Channel) { p.post(func() { p.heirComes(c) }) })
+	seat, err := succession.Take(h.folder, p.log, func(c *succession.Channel) { p.post(func() { p.successorConnected(c) }) })
 	if err != nil {
 		// A folder that heals is used again: a process that comes in its time finds this one.
 		p.log.Warn("the next process does not find this one yet", "error", err)
@@ -90,17 +90,17 @@
 const seatRetry = 2 * second
 
 func (p *Proxy) stopAccepting() {
-	if p.heritage != nil {
+	if p.handover != nil {
 		p.acceptor.Pause()
 	}
 }
 
 // close gives back all that belongs to the succession.
-func (h *heritage) close() {
+func (h *handover) close() {
 	if h.seat != nil {
 		h.seat.Leave()
 	}
-	for _, c := range []*succession.Channel{h.before, h.heir} {
+	for _, c := range []*succession.Channel{h.predecessor, h.successor} {
 		if c != nil {
 			c.Close()
 		}
@@ -109,7 +109,7 @@
 
 // packet is what the two processes tell each other, one thing in each.
 type packet struct {
-	Ready   bool     `json:",omitempty"` // from the heir: it can serve
+	Ready   bool     `json:",omitempty"` // from the successor: it can serve
 	Stands  *stands  `json:",omitempty"` // with a client's socket and its server's
 	Unasked *unasked `json:",omitempty"` // with a client's socket
 
@@ -150,13 +150,13 @@
 	return err == nil
 }
 
-// heirComes notes a process that has come to take this one's place. The last to come counts.
-func (p *Proxy) heirComes(c *succession.Channel) {
-	h := p.heritage
-	if h.heir != nil {
-		h.heir.Close()
+// successorConnected notes a process that has come to take this one's place. The last to come counts.
+func (p *Proxy) successorConnected(c *succession.Channel) {
+	h := p.handover
+	if h.successor != nil {
+		h.successor.Close()
 	}
-	h.heir, h.ready = c, false
+	h.successor, h.ready = c, false
 	p.log.Info("another process has come")
 	go func() {
 		for {
@@ -169,19 +169,19 @@
 				_ = f.Close() // it has nothing to pass on
 			}
 			if err != nil {
-				p.post(func() { p.heirGone(c) })
+				p.post(func() { p.successorGone(c) })
 				return
 			}
 			if said.Ready {
-				p.post(func() { p.heirServes(c) })
+				p.post(func() { p.successorReady(c) })
 			}
 		}
 	}()
 }
 
-// heirServes leaves the door to the heir: two that place at once would each spend the whole cold budget.
-func (p *Proxy) heirServes(c *succession.Channel) {
-	if h := p.heritage; h.heir == c {
+// successorReady leaves the door to the successor: two that place at once would each spend the whole cold budget.
+func (p *Proxy) successorReady(c *succession.Channel) {
+	if h := p.handover; h.successor == c {
 		h.ready = true
 		p.stopAccepting()
 		p.log.Info("the other process serves")
@@ -194,36 +194,36 @@
 		}
 		switch p.duty {
 		case evacuating:
-			p.tellHeir(packet{Evacuating: true})
+			p.tellSuccessor(packet{Evacuating: true})
 		case leaving:
-			// Guards against the word to leave that overtakes the heir's: all clients were moved, with one there to take them.
-			_, sweep := p.farewell()
-			p.passOnAll(p.turn, sweep)
+			// Guards against the word to leave that overtakes the successor's: all clients were moved, with one there to take them.
+			_, sweep := p.leaveSpan()
+			p.handOverAll(p.turn, sweep)
 		}
 	}
 }
 
-// tellHeir passes an order on: until SIGTERM operators may call either process, and the two are one proxy.
-func (p *Proxy) tellHeir(order packet) {
-	if p.inherits() {
-		p.sayNext(p.heritage.heir, order)
+// tellSuccessor passes an order on: until SIGTERM operators may call either process, and the two are one proxy.
+func (p *Proxy) tellSuccessor(order packet) {
+	if p.hasSuccessor() {
+		p.sayNext(p.handover.successor, order)
 	}
 }
 
-// heirGone has this process serve on, or leave as if there had been no other.
-func (p *Proxy) heirGone(c *succession.Channel) {
+// successorGone has this process serve on, or leave as if there had been no other.
+func (p *Proxy) successorGone(c *succession.Channel) {
 	c.Close()
-	h := p.heritage
-	if h.heir != c {
+	h := p.handover
+	if h.successor != c {
 		return
 	}
-	h.heir, h.ready = nil, false
+	h.successor, h.ready = nil, false
 	p.log.Warn("the other process has gone")
 	old := h.seat // the name may be that one's
 	h.seat = nil
 	p.accept()
 	if !p.acceptor.Paused() {
-		// Guards against an heir that ends before it serves: the door was never left, but the seat was, and the
+		// Guards against a successor that ends before it serves: the door was never left, but the seat was, and the
 		// process after it would find nobody. The new seat comes before the old one goes, so that there always is one.
 		p.takeSeat()
 	}
@@ -232,26 +232,26 @@
 	}
 }
 
-// inherits tells that another process takes over what this one holds.
-func (p *Proxy) inherits() bool { return p.heritage != nil && p.heritage.ready }
+// hasSuccessor tells that another process takes over what this one holds.
+func (p *Proxy) hasSuccessor() bool { return p.handover != nil && p.handover.ready }
 
-// passOnAll hands over what can be handed over now, and comes again for the rest; it ends when nothing is left.
-func (p *Proxy) passOnAll(turn int, sweep logic.Micros) {
+// handOverAll hands over what can be handed over now, and comes again for the rest; it ends when nothing is left.
+func (p *Proxy) handOverAll(turn int, sweep logic.Micros) {
 	if p.turn != turn || p.swept == turn {
 		return
 	}
-	if !p.inherits() {
+	if !p.hasSuccessor() {
 		p.sweep(turn, sweep)
 		return
 	}
-	for e := p.silent.Front(); e != nil && p.inherits(); {
+	for e := p.silent.Front(); e != nil && p.hasSuccessor(); {
 		c := e.Value.(*client)
 		e = e.Next()
-		p.passOnSilent(c)
+		p.handOverSilent(c)
 	}
 	passed := 0
 	for _, c := range p.standing() {
-		if p.inherits() && passed < passing && p.passOnStanding(c) {
+		if p.hasSuccessor() && passed < handOverBatch && p.handOverEstablished(c) {
 			passed++
 		}
 	}
@@ -259,15 +259,15 @@
 		p.quit()
 		return
 	}
-	p.after(10*millisecond, func() { p.passOnAll(turn, sweep) })
+	p.after(10*millisecond, func() { p.handOverAll(turn, sweep) })
 }
 
-// passing is how many are handed over in one go. Guards against descriptors that pile up between the two.
-const passing = 32
+// handOverBatch is how many are handed over in one go. Guards against descriptors that pile up between the two.
+const handOverBatch = 32
 
-// passOnStanding hands an open connection over, between two lines and with nothing unsent. Guards against bytes that
+// handOverEstablished hands an open connection over, between two lines and with nothing unsent. Guards against bytes that
 // would be lost or come in another order.
-func (p *Proxy) passOnStanding(c *client) bool {
+func (p *Proxy) handOverEstablished(c *client) bool {
 	d := c.out
 	if c.conn == nil || d.conn == nil || !d.talk.Between() || c.conn.OutboundBuffered() > 0 || d.conn.OutboundBuffered() > 0 {
 		return false
@@ -283,18 +283,18 @@
 	}
 	defer syscall.Close(servers)
 	told := packet{Stands: &stands{c.talk.ID, c.talk.Key, c.talk.Group, c.class, d.server.uid, c.figures.Load, c.figures.Since, c.sent}}
-	if !p.sayNext(p.heritage.heir, told, own, servers) {
-		p.heritage.ready = false // it hears nothing: its end will be noticed, and the rest are moved
+	if !p.sayNext(p.handover.successor, told, own, servers) {
+		p.handover.ready = false // it hears nothing: its end will be noticed, and the rest are moved
 		return false
 	}
-	p.unseat(c, byHeir)
+	p.endEstablished(c, bySuccessor)
 	p.in.ClientLeft(p.now(), c.id)
-	p.letGo(c.conn)
-	p.letGo(d.conn)
+	p.closeLocally(c.conn)
+	p.closeLocally(d.conn)
 	return true
 }
 
-func (p *Proxy) passOnSilent(c *client) {
+func (p *Proxy) handOverSilent(c *client) {
 	if c.conn.OutboundBuffered() > 0 {
 		return
 	}
@@ -303,21 +303,21 @@
 		return
 	}
 	defer syscall.Close(own)
-	if !p.sayNext(p.heritage.heir, packet{Unasked: &unasked{c.talk.Held(), c.came}}, own) {
-		p.heritage.ready = false
+	if !p.sayNext(p.handover.successor, packet{Unasked: &unasked{c.talk.Held(), c.came}}, own) {
+		p.handover.ready = false
 		return
 	}
 	c.leaveQueue()
 	p.release(c)
-	p.letGo(c.conn)
+	p.closeLocally(c.conn)
 }
 
-// letGo closes this process's descriptor of a connection that goes on elsewhere.
-func (p *Proxy) letGo(conn gnet.Conn) { _ = p.loop.Close(conn) }
+// closeLocally closes this process's descriptor of a connection that goes on elsewhere.
+func (p *Proxy) closeLocally(conn gnet.Conn) { _ = p.loop.Close(conn) }
 
 // findPredecessor looks for a process that runs already. It is called before this one can be found in its place.
 func (p *Proxy) findPredecessor() {
-	h := p.heritage
+	h := p.handover
 	if h.folder == "" {
 		return
 	}
@@ -326,12 +326,12 @@
 		p.log.Info("no process is found to take over from", "why", err)
 		return
 	}
-	h.before = c
+	h.predecessor = c
 }
 
-// hearPredecessor hears what it passes on.
-func (p *Proxy) hearPredecessor() {
-	c := p.heritage.before
+// followPredecessor hears what it passes on.
+func (p *Proxy) followPredecessor() {
+	c := p.handover.predecessor
 	if c == nil {
 		return
 	}
@@ -340,7 +340,7 @@
 		for {
 			text, files, err := c.Receive()
 			if err != nil {
-				p.post(func() { p.heritage.before = nil })
+				p.post(func() { p.handover.predecessor = nil })
 				return
 			}
 			var said packet
@@ -364,7 +364,7 @@
 	case said.Unasked != nil && len(conns) == 1:
 		p.enroll(&client{came: said.Unasked.Came, early: said.Unasked.Said}, conns[0], protocol.Refusal(0))
 	case said.Stands != nil && len(conns) == 2:
-		p.seat(said.Stands, conns[0], conns[1])
+		p.resumeEstablished(said.Stands, conns[0], conns[1])
 	default:
 		for _, conn := range conns {
 			_ = conn.Close()
@@ -391,7 +391,7 @@
 	switch side := side.(type) {
 	case *client:
 		p.clientEnded(side, false)
-	case *dispatch:
+	case *attempt:
 		p.serverEnded(side, false)
 	}
 }
@@ -409,8 +409,8 @@
 	return gnet.None
 }
 
-// seat takes an open connection in, its server's side first.
-func (p *Proxy) seat(s *stands, own, servers *os.File) {
+// resumeEstablished takes an open connection in, its server's side first.
+func (p *Proxy) resumeEstablished(s *stands, own, servers *os.File) {
 	to := p.servers[discovery.ID(s.Server)]
 	if to == nil || p.ids[s.ID] {
 		// Its server is none of the list's: the client comes again, and is told so.
@@ -424,7 +424,7 @@
 	c.request.Resume()
 	c.talk.ID, c.talk.Key, c.talk.Group, c.talk.Product = s.ID, s.Key, s.Group, s.Class
 	c.figures = notes.Conn{Since: s.Since, Load: s.Load}
-	d := &dispatch{client: c, server: to, began: now, until: now, ending: logic.Reset, hang: func() {}}
+	d := &attempt{client: c, server: to, began: now, until: now, ending: logic.Reset, hang: func() {}}
 	d.talk.Resume()
 	c.out = d
 	p.lastID++
--- a/internal/proxy/succeed_test.go
+++ b/internal/proxy/handover_test.go
@@ -57,7 +57,7 @@
 func (h *house) start() *stage {
 	raw, err := h.socket.SyscallConn()
 	require.NoError(h, err)
-	fd := -1 // the proxy's own from here on, as one that a process inherits
+	fd := -1 // the proxy's own from here on, as one that a process hasSuccessor
 	require.NoError(h, raw.Control(func(socket uintptr) { fd, err = syscall.Dup(int(socket)) }))
 	require.NoError(h, err)
 	b, err := opening.Lines(unprobed).Balancer(7)
@@ -126,7 +126,7 @@
 		asks.hears("PONG")
 		first = second
 	}
-	require.Equal(t, 2, h.server.Conns(), "no dispatch was made for them again")
+	require.Equal(t, 2, h.server.Conns(), "no attempt was made for them again")
 	half.says("at,d=1500\r\n")
 	half.hears("UP a")
 	fleet.Reset(ended.Conn)
@@ -266,7 +266,7 @@
 	hung.Close()
 }
 
-// The word to leave overtook the heir's that it can serve, one time in ten on a busy machine: all clients were moved.
+// The word to leave overtook the successor's that it can serve, one time in ten on a busy machine: all clients were moved.
 func TestAnHeirThatSaysSoJustAfterTheWordToLeaveTakesOver(t *testing.T) {
 	h := newHouse(t)
 	first := h.start()
--- a/internal/proxy/hooks_test.go
+++ b/internal/proxy/hooks_test.go
@@ -32,7 +32,7 @@
 func (p *Proxy) Evict(first func()) {
 	p.post(func() {
 		first()
-		p.room(p.most)
+		p.makeRoom(p.most)
 	})
 }
 
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -50,14 +50,14 @@
 		return
 	}
 	turn := p.take(leaving)
-	p.log.Info("leaving", "attachments", len(p.clients), "heir", p.inherits())
-	span, sweep := p.farewell()
+	p.log.Info("leaving", "attachments", len(p.clients), "successor", p.hasSuccessor())
+	span, sweep := p.leaveSpan()
 	p.stopAccepting()
-	if p.inherits() {
-		p.passOnAll(turn, sweep)
+	if p.hasSuccessor() {
+		p.handOverAll(turn, sweep)
 	}
 	p.after(lateComers, func() {
-		if !p.inherits() {
+		if !p.hasSuccessor() {
 			p.sweep(turn, sweep)
 		}
 	})
@@ -66,8 +66,8 @@
 	p.after(lateComers+span+50*millisecond, p.quit)
 }
 
-// farewell is how long a proxy that leaves stays for those that are pending, and over what part of it the others are moved.
-func (p *Proxy) farewell() (span, sweep logic.Micros) {
+// leaveSpan is how long a proxy that leaves stays for those that are pending, and over what part of it the others are moved.
+func (p *Proxy) leaveSpan() (span, sweep logic.Micros) {
 	span = min(p.longest, longestLeave)
 	return span, max(leastSpread, logic.Micros(leavingOver*float64(span)))
 }
@@ -87,7 +87,7 @@
 		return
 	}
 	turn, now := p.take(evacuating), p.now()
-	p.tellHeir(packet{Evacuating: true})
+	p.tellSuccessor(packet{Evacuating: true})
 	p.log.Info("evacuating", "attachments", len(p.clients))
 	p.after(emptying, func() { p.sendAway(turn, now+emptiedBy) })
 	p.after(emptiedBy, func() { p.refusing = p.refusing || p.turn == turn })
@@ -102,7 +102,7 @@
 func (p *Proxy) rejoin() {
 	if p.duty == evacuating {
 		p.take(serving)
-		p.tellHeir(packet{Rejoined: true})
+		p.tellSuccessor(packet{Rejoined: true})
 		p.log.Info("back to work", "attachments", len(p.clients))
 	}
 }
@@ -191,7 +191,7 @@
 			p.move(c, logic.Cancelled, byLeaving)
 		}
 	}
-	if p.heritage == nil { // else they wait in the socket that the next process has, too
+	if p.handover == nil { // else they wait in the socket that the next process has, too
 		p.refuseSilent()
 	}
 	if (len(p.standing()) > 0 || p.done.Len() > 0) && p.now() < latest {
@@ -211,12 +211,12 @@
 	p.refuseSilent()
 	for e := p.done.Front(); e != nil; e = e.Next() {
 		if c := e.Value.(*client); isOpen(c.conn) {
-			emptyOut(c.conn.Fd()) // or its close would be a reset
+			discardInput(c.conn.Fd()) // or its close would be a reset
 		}
 	}
 	p.log.Info("gone", "attachments", len(p.clients))
-	if p.heritage != nil {
-		p.heritage.close()
+	if p.handover != nil {
+		p.handover.close()
 	}
 	p.finish()
 }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -36,7 +36,7 @@
 		return p.unlessCalledOff(err)
 	}
 	defer p.acceptor.Close()
-	if p.heritage != nil {
+	if p.handover != nil {
 		p.findPredecessor()
 	}
 	loop, err := p.startLoop()
@@ -47,10 +47,10 @@
 		stopLoop(loop)
 		return p.unlessCalledOff(nil)
 	}
-	if p.heritage == nil {
+	if p.handover == nil {
 		p.acceptor.Resume()
 	} else {
-		p.hearPredecessor()
+		p.followPredecessor()
 	}
 	<-p.ended
 	p.acceptor.Close()
@@ -234,7 +234,7 @@
 		if c.conn != nil && c.out.talk.Between() {
 			_, _ = c.conn.Write(protocol.Leave) // a failure is the connection's own end
 		}
-		p.unseat(c, byLeaving)
+		p.endEstablished(c, byLeaving)
 	}
 	p.refuseSilent()
 	p.finish()
--- a/internal/proxy/narrow_test.go
+++ b/internal/proxy/narrow_test.go
@@ -249,7 +249,7 @@
 	require.Len(t, servers[0].Lines(), sent)
 }
 
-// A server says two things at once, or the second when the dispatch is over: the client hears one.
+// A server says two things at once, or the second when the attempt is over: the client hears one.
 func TestAClientHearsOneAnswerWhateverAServerSays(t *testing.T) {
 	for answer, want := range map[string]string{
 		"BUSY\r\nUP b": "BUSY", "ERR\r\nUP b": "ERR", "ERR\r\nBUSY": "ERR", "MOVE\r\nUP b": "ERR", "UP\r\nUP b": "ERR",
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -26,7 +26,7 @@
 	s := p.servers[id]
 	switch {
 	case s == nil || p.duty == leaving:
-	case s.probe == nil && p.room(2):
+	case s.probe == nil && p.makeRoom(2):
 		s.probe = &probe{server: s, asked: p.now(), out: true}
 		p.sockets += 2
 		go p.dialProbe(s.probe, s.endpoint)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -89,7 +89,7 @@
 	telling  bool         // somebody may fetch them
 	swept    int          // the turn in which clients were begun to be sent away
 	quitting bool         // the acceptor is closed, and the end is a moment off
-	heritage *heritage    // nil: the listener is its own
+	handover *handover    // nil: the listener is its own
 }
 
 // New makes a proxy that places by b. Each part brings its own few figures; the server list is the one that
@@ -190,7 +190,7 @@
 	case *client:
 		p.sockets++
 		return nil, p.clientOpened(side, c)
-	case *dispatch:
+	case *attempt:
 		return nil, p.connected(side, c)
 	case *probe:
 		p.probeConnected(side, c)
@@ -207,7 +207,7 @@
 	switch side := c.Context().(type) {
 	case *client:
 		p.clientSays(side, b)
-	case *dispatch:
+	case *attempt:
 		p.serverSays(side, b)
 	case *probe:
 		p.probeSays(side, b)
@@ -226,7 +226,7 @@
 		p.sockets--
 		side.leaveQueue()
 		p.clientEnded(side, isReset(err))
-	case *dispatch:
+	case *attempt:
 		p.sockets--
 		p.serverEnded(side, isReset(err))
 	case *probe:
@@ -244,7 +244,7 @@
 	switch side := side.(type) {
 	case *client:
 		return side.request.Over()
-	case *dispatch:
+	case *attempt:
 		return side.over
 	case *anchor:
 		return false
--- a/internal/proxy/register.go
+++ b/internal/proxy/register.go
@@ -92,7 +92,7 @@
 	_ = raw.Control(func(fd uintptr) {
 		_, _ = unix.Write(int(fd), word) // a failure is the client's, or the connection's end
 		_ = unix.Shutdown(int(fd), unix.SHUT_WR)
-		emptyOut(int(fd))
+		discardInput(int(fd))
 	})
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -40,7 +40,7 @@
 }
 
 // passDown passes a server's bytes on and tells the decisions what they say.
-func (p *Proxy) passDown(d *dispatch, ev protocol.ServerEvent, pass []byte) {
+func (p *Proxy) passDown(d *attempt, ev protocol.ServerEvent, pass []byte) {
 	c, now := d.client, p.now()
 	switch ev {
 	case protocol.LoadTold:
@@ -60,7 +60,7 @@
 
 // figure tells the decisions what a server's figure says. Guards against a delay that is taken for a load: where both
 // are told they look alike, and the heaviest clients of a late server would count as its lightest.
-func (p *Proxy) figure(now logic.Micros, d *dispatch, x float64) {
+func (p *Proxy) figure(now logic.Micros, d *attempt, x float64) {
 	c, s := d.client, d.server
 	if !p.delays {
 		p.trace("load", c, "level", x)
@@ -114,7 +114,7 @@
 	_, _ = c.conn.Write(b) // a failure comes as the end of the connection
 	if !c.request.Over() && c.conn.OutboundBuffered() > mostUnsent {
 		p.log.Warn("a client does not read")
-		p.unseat(c, byClient)
+		p.endEstablished(c, byClient)
 		p.in.ClientLeft(p.now(), c.id)
 		p.shut(c.out.conn, true)
 		p.shut(c.conn, true)
@@ -152,10 +152,10 @@
 			return
 		}
 	}
-	p.unseat(c, by)
+	p.endEstablished(c, by)
 	p.in.Ended(p.now(), c.id, o, true)
 	p.shut(d.conn, false)
-	p.lastWord(c)
+	p.closeAnswered(c)
 }
 
 // pulse tells, once a second, how long messages take at each server where connections stand and they are late,
