--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -18,14 +18,14 @@
 
 // The ends of a standing connection, as `ended` tells them.
 const (
-	byClient    = "client"  // the client has ended it
-	byServer    = "server"  // its server has, or was lost
-	byService   = "served"  // its server has, and said that it was served to its end
-	byLeaving   = "leaving" // moved, since this proxy leaves or evacuates
-	byDrain     = "drain"   // moved, since its server drains or is gone
-	byChoice    = "choice"  // moved off a late server, or home across zones
-	bySuccessor = "successor"    // passed on to the process that takes this one's place
-	bySilence   = "silence" // moved, since its server brings nothing back
+	byClient    = "client"    // the client has ended it
+	byServer    = "server"    // its server has, or was lost
+	byService   = "served"    // its server has, and said that it was served to its end
+	byLeaving   = "leaving"   // moved, since this proxy leaves or evacuates
+	byDrain     = "drain"     // moved, since its server drains or is gone
+	byChoice    = "choice"    // moved off a late server, or home across zones
+	bySuccessor = "successor" // passed on to the process that takes this one's place
+	bySilence   = "silence"   // moved, since its server brings nothing back
 )
 
 // traceSight writes, once a second, what this proxy sees of the servers where its connections stand.
