An agent starts a second instance when a read fails for a moment: a failing test

Found in the audit of what restarts: agent/process.go found and procStart take any read error for a process that has ended.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -44,6 +44,11 @@
 		}
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
+	case "finder":
+		fmt.Print(".")
+		_, _ = os.Stdin.Read(make([]byte, 1))
+		fmt.Println(agent.FindProcess(os.Args[1]))
+		os.Exit(0)
 	case "instance":
 		os.Exit(standIn(os.Args[1], os.Args[3], os.Args[5], quiet))
 	}
