--- a/agent/journal.go
+++ b/agent/journal.go
@@ -20,6 +20,7 @@
 	"encoding/json"
 
 	"hatchproxy/agent/wanted"
+	"hatchproxy/internal/transient"
 )
 
 // Journal is the replicated log of commands and the state that it leads to. It owns its files and its port.
@@ -198,7 +199,7 @@
 // remember starts with what was written down. What cannot be read counts as nothing: the log has it all.
 func remember(path string) *machine {
 	m := &machine{path: path, changed: make(chan struct{})}
-	if text, err := os.ReadFile(path); err == nil {
+	if text, err := transient.ReadFile(path); err == nil {
 		_ = m.kept.Load(text)
 	}
 	return m
--- a/agent/process.go
+++ b/agent/process.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+
+	"hatchproxy/internal/transient"
 )
 
 // process is an instance's, started by this agent or by one before it: an agent that dies leaves its instances
@@ -47,7 +49,7 @@
 
 // procStart reads when a process started, by the kernel's count; false if there is none, or only its remains.
 func procStart(pid int) (bool, string) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	text, err := transient.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return false, ""
 	}
@@ -108,7 +110,7 @@
 // intended is the restart for which an instance was last started, or was about to be.
 func intended(path string) uint64 {
 	var p process
-	if text, err := os.ReadFile(path); err == nil {
+	if text, err := transient.ReadFile(path); err == nil {
 		_ = json.Unmarshal(text, &p) // what is torn tells nothing: 0
 	}
 	return p.Restart
@@ -116,7 +118,8 @@
 
 // found is the process of an instance that an agent before this one has left running; nil if there is none.
 func found(path string) *process {
-	text, err := os.ReadFile(path)
+	// Guards against a second process beside one that runs, since the file could not be read for a moment.
+	text, err := transient.ReadFile(path)
 	if err != nil {
 		return nil
 	}
