A look that fails says nothing of the client; the end that was not read yet has its test

An end and a reset count, nothing else, and a client that is taken for gone still gets its one answer. TestNothingIsSentForAClientWhoseEndHasNotBeenRead is red without the look (the line went out in the turn in which both came) and green with it. internal/proxy and cmd/hatchproxy pass.

--- a/cmd/hatchlab/soak.go
+++ b/cmd/hatchlab/soak.go
@@ -35,6 +35,7 @@
 	Shortfalls []string           `json:"shortfalls,omitempty"`
 	Breaches   []string           `json:"breaches,omitempty"`
 	Crashes    []string           `json:"crashes,omitempty"`
+	Kept       string             `json:"kept,omitempty"` // the folder with its record, where it broke
 	Figures    map[string]float64 `json:"figures"`
 }
 
@@ -169,12 +170,17 @@
 	if err := os.CopyFS(kept, os.DirFS(folder)); err != nil {
 		return nil, err
 	}
-	record := strings.Join(slicesOf(v), "\n\n")
-	return v, errors.Join(os.WriteFile(filepath.Join(kept, "experiment.toml"), []byte(drawn.Text), 0o644),
+	v.Kept = kept
+	record := strings.Join(v.findings(), "\n\n")
+	return v, errors.Join(os.WriteFile(filepath.Join(kept, scheduleName), []byte(drawn.Text), 0o644),
 		os.WriteFile(filepath.Join(kept, "record.txt"), []byte(record+"\n"), 0o644))
 }
 
-func slicesOf(v *soakVerdict) []string {
+// scheduleName is the file of what broke that can be played again.
+const scheduleName = "experiment.toml"
+
+// findings are all that is known of what did not hold.
+func (v *soakVerdict) findings() []string {
 	var all []string
 	all = append(all, v.Shortfalls...)
 	all = append(all, v.Breaches...)
@@ -193,6 +199,9 @@
 	for _, rule := range sortedRules(f) {
 		text += fmt.Sprintf("\n    %s %g", rule, f[rule])
 	}
+	if v.Kept != "" {
+		text += fmt.Sprintf("\n    record and logs: %s; again: hatchlab run %s --seed %d", v.Kept, filepath.Join(v.Kept, scheduleName), v.Seed)
+	}
 	return text
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -173,7 +173,9 @@
 	if err := c.request.Send(now, isPresent(c.conn)); err != nil {
 		var v *lifecycle.Violation
 		if errors.As(err, &v) && v.Rule == lifecycle.ClientPresent {
-			p.clientEnded(c, false) // its end is about to be read
+			// Its end is about to be read. Should that look have been wrong, it has its one answer all the same.
+			p.abandon(c)
+			p.answer(c, telemetry.Errored, protocol.Failed, "client left")
 			return false
 		}
 		p.trace("unsent", c, "server", d.server.uid, "why", err.Error())
@@ -187,15 +189,16 @@
 	return true
 }
 
-// isPresent tells whether a client's connection has neither ended nor broken, also where the loop has not come to read
-// that yet.
+// isPresent tells whether a client's connection has neither ended nor been reset, also where the loop has not come to read
+// that yet. A look that fails for any other reason says nothing of the client.
 func isPresent(conn gnet.Conn) bool {
 	if !isOpen(conn) {
 		return false
 	}
 	var next [1]byte
 	n, _, err := unix.Recvfrom(conn.Fd(), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return n > 0 || errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
+	ended := n == 0 && err == nil
+	return !ended && !errors.Is(err, unix.ECONNRESET)
 }
 
 func (p *Proxy) serverSays(d *attempt, b []byte) {
--- a/internal/proxy/hooks_test.go
+++ b/internal/proxy/hooks_test.go
@@ -46,3 +46,13 @@
 
 // LogTo has a proxy write its log elsewhere, before it runs.
 func (p *Proxy) LogTo(log *slog.Logger) { p.log = log }
+
+// Stall holds the loop up while something is done beside it.
+func (p *Proxy) Stall(meanwhile func()) {
+	done := make(chan struct{})
+	p.post(func() {
+		meanwhile()
+		close(done)
+	})
+	<-done
+}
--- a/internal/proxy/narrow_test.go
+++ b/internal/proxy/narrow_test.go
@@ -296,3 +296,22 @@
 	require.NoError(t, err, "an end, not a reset")
 	require.Equal(t, "BUSY\r\n", string(text))
 }
+
+// A client left while its attempt was being dialled, and the loop had not come to read that when the dial came up: nothing is
+// sent, also in the very turn in which both come.
+func TestNothingIsSentForAClientWhoseEndHasNotBeenRead(t *testing.T) {
+	hold, dialled, release := heldDials()
+	s, servers := playBook(t, unprobed, 1024, func(p *proxy.Proxy) {
+		p.Tell()
+		hold(p)
+	}, "UP a")
+	c := s.open("c=pay,d=1500")
+	<-dialled
+	s.proxy.Stall(func() {
+		require.NoError(t, c.Close())
+		close(release)
+		time.Sleep(100 * time.Millisecond) // the dial's result waits for the loop, with the client's end behind it
+	})
+	s.shows("current 0")
+	require.Empty(t, servers[0].Lines())
+}
