--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -206,8 +206,9 @@
 			Grace: fresh.Grace(), Within: fresh.Asking(), Pushed: fresh.Pushed()}, nil
 	}
 	log = log.With("proxy", paper.Name())
-	p := proxy.New(log, b, listen, service(paper), paper.Known(), products, limits,
-		zones, models, paper.Dialing(), paper.Late(), sockets)
+	p := proxy.New(proxy.Options{Log: log, Balancer: b, Listen: listen, Discovery: service(paper), Known: paper.Known(),
+		Classes: products, Deadlines: limits, Zones: zones, Models: models, DialTimeout: paper.Dialing(), Late: paper.Late(),
+		Descriptors: sockets})
 	p.Bounds(paper.Grace(), paper.Asking(), paper.Pushed())
 	first, err := readOrders(held)
 	if err != nil {
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/opening"
 	"hatchproxy/internal/proxy"
 	"hatchproxy/internal/succession"
@@ -62,9 +61,7 @@
 	require.NoError(h, err)
 	b, err := opening.Lines(unprobed).Balancer(7)
 	require.NoError(h, err)
-	p := proxy.New(slog.New(slog.DiscardHandler), b, h.socket.Addr().String(), discovery.At(h.list.Address(), time.Second), nil,
-		[]string{"chat", "pay"}, []logic.Micros{1500 * logic.Millisecond, 1500 * logic.Millisecond}, []string{"a"}, []string{"m"},
-		250*logic.Millisecond, 50*logic.Millisecond, 1024)
+	p := proxy.New(options(slog.New(slog.DiscardHandler), b, h.socket.Addr().String(), h.list, 1024))
 	p.Tell()
 	require.NoError(h, p.Inherit(fd, h.folder))
 	s := &stage{T: h.T, listen: h.socket.Addr().String(), list: h.list, leave: make(chan os.Signal, 1), ended: make(chan error, 1), proxy: p}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -92,17 +92,31 @@
 	handover *handover    // nil: the listener is its own
 }
 
-// New makes a proxy that places by b. Each part brings its own few figures; the server list is the one that
-// the proxy had before, or nil.
-func New(log *slog.Logger, b *logic.Balancer, listen string, service *discovery.Service, known []byte,
-	products []string, limits []logic.Micros, zones, models []string, dialing, late logic.Micros, sockets int64) *Proxy {
+// Options are what a proxy is made of. Spans are in microseconds.
+type Options struct {
+	Log         *slog.Logger
+	Balancer    *logic.Balancer // decides
+	Listen      string          // the clients' address
+	Discovery   *discovery.Service
+	Known       []byte // the server list that the proxy had before, in discovery's form; may be nil
+	Classes     []string
+	Deadlines   []logic.Micros // of the classes, in their order
+	Zones       []string       // in the order of the settings
+	Models      []string
+	DialTimeout logic.Micros
+	Late        logic.Micros // what a message takes at a server that is told to be late
+	Descriptors int64        // the most that the process may hold
+}
+
+// New makes a proxy.
+func New(o Options) *Proxy {
 	now := time.Now()
 	p := &Proxy{
-		log: log, listen: listen, service: service,
+		log: o.Log, listen: o.Listen, service: o.Discovery,
 		started: make(chan struct{}), ended: make(chan struct{}),
 		begin: now, epoch: logic.Micros(now.UnixMicro()),
 		zones: map[string]logic.ZoneID{}, models: map[string]logic.ModelID{},
-		dialing: dialing, late: late, most: int(sockets) - ownSockets,
+		dialing: o.DialTimeout, late: o.Late, most: int(o.Descriptors) - ownSockets,
 		clients: map[logic.AttachmentID]*client{}, ids: map[uint64]bool{}, servers: map[logic.ServerID]*server{}, version: discovery.None,
 		desk: orders.New(),
 		connect: func(ctx context.Context, endpoint string) (net.Conn, error) {
@@ -110,22 +124,22 @@
 		},
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
-	numbers := make([]logic.ProductID, len(products))
-	for i := range products {
+	numbers := make([]logic.ProductID, len(o.Classes))
+	for i := range o.Classes {
 		numbers[i] = logic.ProductID(i)
 	}
-	p.offer(products, limits, numbers)
-	for i, name := range zones {
+	p.offer(o.Classes, o.Deadlines, numbers)
+	for i, name := range o.Zones {
 		p.zones[name] = logic.ZoneID(i)
 	}
-	for i, name := range models {
+	for i, name := range o.Models {
 		p.models[name] = logic.ModelID(i)
 	}
 	p.host = host.New(p)
-	p.in = p.host.Open(0, b)
-	if len(known) > 0 {
-		if version, tell, err := discovery.Decode(known); err != nil {
-			log.Warn("the list from before is of no use", "error", err)
+	p.in = p.host.Open(0, o.Balancer)
+	if len(o.Known) > 0 {
+		if version, tell, err := discovery.Decode(o.Known); err != nil {
+			o.Log.Warn("the list from before is of no use", "error", err)
 		} else {
 			p.version = version
 			tell(&listed{p, true})
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -100,9 +100,7 @@
 		}
 	})
 	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	p := proxy.New(log, b, s.listen, discovery.At(list.Address(), time.Second), nil, []string{"chat", "pay"},
-		[]logic.Micros{1500 * logic.Millisecond, 1500 * logic.Millisecond}, []string{"a"}, []string{"m"},
-		250*logic.Millisecond, 50*logic.Millisecond, sockets)
+	p := proxy.New(options(log, b, s.listen, list, sockets))
 	s.proxy = p
 	p.Introduce(proxy.About{Name: "n0", Level: new(slog.LevelVar)}, nil)
 	more(p)
@@ -120,6 +118,14 @@
 	return s, servers
 }
 
+// options are those of a proxy with the classes chat and pay.
+func options(log *slog.Logger, b *logic.Balancer, listen string, list *fleet.Hand, sockets int64) proxy.Options {
+	const deadline = 1500 * logic.Millisecond
+	return proxy.Options{Log: log, Balancer: b, Listen: listen, Discovery: discovery.At(list.Address(), time.Second),
+		Classes: []string{"chat", "pay"}, Deadlines: []logic.Micros{deadline, deadline}, Zones: []string{"a"}, Models: []string{"m"},
+		DialTimeout: 250 * logic.Millisecond, Late: 50 * logic.Millisecond, Descriptors: sockets}
+}
+
 // caller is a client's connection.
 type caller struct {
 	*stage
