--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -16,7 +16,6 @@
 	"hatchproxy/internal/proxy"
 	"hatchproxy/internal/succession"
 	"hatchproxy/lab/fleet"
-	"hatchproxy/logic"
 )
 
 // house is where processes that replace each other run: one listening socket, one folder, one list.
