--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -248,7 +248,9 @@
 	listener net.Listener
 	mu       sync.Mutex
 	draining bool
-	opens    []time.Time // when the OPEN lines came
+	slow     time.Duration // how long a message takes
+	pieces   int           // in how many pieces an answer to a message is written
+	opens    []time.Time   // when the OPEN lines came
 }
 
 // NewServer starts a server.
@@ -282,6 +284,24 @@
 	s.draining = true
 }
 
+// SetSlow sets how long a message takes from now on.
+func (s *Server) SetSlow(wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = wait
+	s.rec.Logf("server %s: a message takes %v", s.UID, wait)
+}
+
+// SetPieces sets in how many pieces the answer to a message is written, PieceGap or SlowPieceGap apart.
+func (s *Server) SetPieces(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pieces = n
+}
+
+// PieceGap and SlowPieceGap are the times between two pieces of a line, the latter of a slow server.
+const PieceGap, SlowPieceGap = 10 * time.Millisecond, 50 * time.Millisecond
+
 // Opens returns when OPEN lines came.
 func (s *Server) Opens() []time.Time {
 	s.mu.Lock()
@@ -327,8 +347,27 @@
 		if err != nil {
 			return
 		}
-		if _, err := fmt.Fprintf(conn, "GOT %s", line); err != nil {
-			return
+		s.mu.Lock()
+		slow, pieces := s.slow, max(1, s.pieces)
+		s.mu.Unlock()
+		if slow > 0 {
+			s.rec.Logf("server %s: got %q of %s; the answer begins in %v", s.UID, line, words[1], slow)
+		}
+		time.Sleep(slow)
+		gap := PieceGap
+		if slow > 0 {
+			gap = SlowPieceGap
+		}
+		answer := "GOT " + line
+		for left := pieces; left > 0; left-- {
+			n := len(answer) / left
+			if _, err := conn.Write([]byte(answer[:n])); err != nil {
+				s.rec.Logf("server %s: was writing the answer to %s when the connection broke: %v", s.UID, words[1], err)
+				return
+			}
+			if answer = answer[n:]; left > 1 {
+				time.Sleep(gap)
+			}
 		}
 	}
 }
@@ -557,7 +596,7 @@
 				c.end = err.Error()
 				moved := c.moved
 				c.mu.Unlock()
-				rec.Logf("client %s: ended, moved=%t, %v", c.ID, moved, err)
+				rec.Logf("client %s: ended, moved=%t, after %q of a line: %v", c.ID, moved, line, err)
 				_ = conn.Close()
 				return
 			}
