--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/cases ] && [ -x bin/hatchproxy ] || { echo "not built" >&2; exit 2; }
-exec timeout -k 5 115 review/bin/cases midline review/1
+exec timeout -k 5 115 review/bin/cases crowd review/1
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -415,6 +416,11 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	starts int
+
+	Listener    *os.File // the listening socket that the platform holds, as descriptor 7 of each process; nil if there is none
+	Admin       string   // the address for operators; "" for none
+	TMP         string   // $TMPDIR; a new folder for each start if it is ""
+	Descriptors int      // how many descriptors each process may hold; 0 for as many as here
 }
 
 // NewProxy returns a proxy that does not run yet. dir is a folder of its own.
@@ -454,7 +460,9 @@
 	}
 	p.starts++
 	tmp := filepath.Join(p.dir, fmt.Sprintf("tmp%d", p.starts))
-	if err := os.Mkdir(tmp, 0o700); err != nil {
+	if p.TMP != "" {
+		tmp = p.TMP
+	} else if err := os.Mkdir(tmp, 0o700); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -462,10 +470,21 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command("/bin/sh", "-c", string(run[1]))
+	command := string(run[1])
+	if p.Descriptors > 0 {
+		command = fmt.Sprintf("ulimit -n %d; %s", p.Descriptors, command)
+	}
+	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.root, log, log
 	cmd.Env = append(os.Environ(), "TMPDIR="+tmp, "ROUTER_NAME="+p.Name, "ROUTER_LISTEN="+p.Address, "ROUTER_DISCOVERY="+discovery,
 		"ROUTER_CONFIG="+filepath.Join(p.dir, "config.json"))
+	if p.Admin != "" {
+		cmd.Env = append(cmd.Env, "ROUTER_ADMIN_ADDR="+p.Admin)
+	}
+	if p.Listener != nil {
+		cmd.ExtraFiles = []*os.File{nil, nil, nil, nil, p.Listener}
+		cmd.Env = append(cmd.Env, "ROUTER_SOCKET_FD=7")
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
@@ -487,6 +506,30 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// Successor returns the proxy that takes the place of p: a further process of the same name and addresses, with another address for
+// operators.
+func (p *Proxy) Successor() *Proxy {
+	return &Proxy{Name: p.Name, Address: p.Address, rec: p.rec, root: p.root, dir: p.dir, starts: p.starts, Listener: p.Listener, Admin: FreeAddress(),
+		TMP: p.TMP, Descriptors: p.Descriptors}
+}
+
+// WaitAdminReady waits until the process says yes to operators, for at most limit.
+func (p *Proxy) WaitAdminReady(limit time.Duration) bool {
+	caller := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		answer, err := caller.Get("http://" + p.Admin + "/api/ready")
+		if err != nil {
+			continue
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			p.rec.Logf("platform: the new process of %s says yes", p.Name)
+			return true
+		}
+	}
+	return false
+}
+
 // Exited reports whether the program has ended, for which it waits so long.
 func (p *Proxy) Exited(wait time.Duration) bool {
 	select {
@@ -612,6 +655,17 @@
 	return c.moved, c.end
 }
 
+// Idle connects to a proxy, says nothing and reads until the proxy ends the connection.
+func Idle(proxy string) {
+	conn, err := net.DialTimeout("tcp", proxy, time.Second)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // Close ends the client's connection.
 func (c *Client) Close() {
 	if c.conn != nil {
