--- a/review/cases/crowd.go
+++ b/review/cases/crowd.go
@@ -19,6 +19,10 @@
 // crowd: a proxy's process is replaced while idle clients fill the descriptors. Established connections go on, or are moved.
 func crowd(p *play) ([]string, error) {
 	const established, idlePerSecond, descriptors = 150, 400, 1024
+	var here syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &here); err != nil || here.Cur < 4*descriptors {
+		return nil, fmt.Errorf("the stand-ins need %d descriptors, and have %d: %v", 4*descriptors, here.Cur, err)
+	}
 	var targets []stand.Target
 	for i := range 8 {
 		targets = append(targets, stand.NewServer(p.rec, fmt.Sprintf("s%d", i)).Target("za", "m", i/4))
