--- a/review/cases/crowd.go
+++ b/review/cases/crowd.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -98,6 +97,7 @@
 		return nil, errors.New("the new process does not say yes")
 	}
 	time.Sleep(2 * time.Second)
+	p.rec.Logf("platform: descriptors: the old process holds %d, the new one %d", proxy.CountDescriptors(), next.CountDescriptors())
 	proxy.Signal(syscall.SIGTERM)
 	if !proxy.Exited(1800*time.Millisecond + 700*time.Millisecond + 50*time.Millisecond) {
 		proxy.Signal(syscall.SIGKILL)
@@ -118,12 +118,5 @@
 		}
 	}
 	p.rec.Logf("%d clients go on, %d were moved, %d were cut off", going, moved, len(lost))
-	if text, err := os.ReadFile(p.dir + "/log"); err == nil {
-		for _, line := range strings.Split(string(text), "\n") {
-			if strings.Contains(line, "process") || strings.Contains(line, "leaving") || strings.Contains(line, "packet") {
-				p.rec.Logf("log: %s", line)
-			}
-		}
-	}
 	return lost, nil
 }
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"hatchproxy/review/stand"
 )
@@ -53,6 +54,7 @@
 		fmt.Println("could not run:", err)
 		return 2
 	}
+	p.copyLog()
 	for _, b := range breaches {
 		rec.Logf("broken: %s", b)
 	}
@@ -68,3 +70,18 @@
 	}
 	return 0
 }
+
+// maxLogLines bounds how much of the proxies' log is copied into the record.
+const maxLogLines = 60
+
+// copyLog copies the beginning of the proxies' log into the record.
+func (p *play) copyLog() {
+	text, err := os.ReadFile(filepath.Join(p.dir, "log"))
+	if err != nil {
+		return
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	for _, line := range lines[:min(len(lines), maxLogLines)] {
+		p.rec.Logf("proxies' log: %s", line)
+	}
+}
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -530,6 +530,15 @@
 	return false
 }
 
+// CountDescriptors returns how many descriptors the process holds.
+func (p *Proxy) CountDescriptors() int {
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return -1
+	}
+	return len(open)
+}
+
 // Exited reports whether the program has ended, for which it waits so long.
 func (p *Proxy) Exited(wait time.Duration) bool {
 	select {
