--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -1,4 +1,4 @@
-// Command cases plays the review's cases, one by one: cases NAME FOLDER. It exits with 1 if the rule was broken, 0 if it held,
+// Command cases plays the review's cases, one by one: cases NAME RECORD, the latter the file to write to. It exits with 1 if the rule was broken, 0 if it held,
 // and 2 if the case could not run.
 package main
 
@@ -26,10 +26,10 @@
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "cases NAME FOLDER")
+		fmt.Fprintln(os.Stderr, "cases NAME RECORD")
 		return 2
 	}
-	rec, err := stand.NewRecord(filepath.Join(os.Args[2], "record.txt"))
+	rec, err := stand.NewRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
