--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -1,5 +1,5 @@
-// Command cases plays the review's cases, one by one: cases NAME RECORD, the latter the file to write to. It exits with 1 if the rule was broken, 0 if it held,
-// and 2 if the case could not run.
+// Command cases plays the review's cases, one by one: cases NAME RECORD, where RECORD is the file to write. It exits with 1 if the
+// rule was broken, 0 if it held, and 2 if the case could not run.
 package main
 
 import (
