Moves wait for the end of a line while the server goes on sending it

Cause: tick (internal/proxy/relay.go) moved each client with a message unanswered for 1.5 s by moveClientBy with a deadline of now, "the rest of the line is not expected any more". With an answer time of 1.6 s many of these servers are within their answer then; MOVE may not stand within a line, so the connection was just closed. Evidence: all six ended in the instants of the log's "server does not answer messages", after "GOT" or more, and the servers' next writes broke. Ruled out: a reset, an end by the client or the server. The same on related paths: drain, choice, evacuation and SIGTERM waited for one second, whether or not the server went on.

A move within a line is made by the bytes that end the line. The wait ends without MOVE if the server is silent within the line (no byte for 1 s, a message unanswered for 3 s), 3.8 s into an evacuation and at the end of a leave. Clients that wait are passed over by later moves. Such ends are logged, and counted by edge_router_cut_within_line.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -48,6 +48,8 @@
 	writeStarted bool // the request line was passed to gnet for writing
 	finished     bool
 	closeOutcome logic.Outcome // the outcome if the server closes the established connection now
+	receivedAt   logic.Micros  // when the server's latest bytes came on the established connection
+	blocked      bool          // the server does not read; the client's further bytes are dropped until it is moved
 }
 
 // isFullyWritten reports whether the last byte of the request line may have reached the server. The kernel may take
@@ -214,12 +216,14 @@
 		c.pendingInput = append(c.pendingInput, data...)
 		return
 	}
+	a.receivedAt = p.now()
 	for len(data) > 0 && !a.finished {
 		var event protocol.ServerEvent
 		var forward []byte
 		event, forward, data = a.parser.Feed(data)
 		if a.client.request.WasEstablished() {
 			p.relayToClient(a, event, forward)
+			p.continueMove(a.client, len(data) > 0)
 			continue
 		}
 		switch event {
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -33,6 +33,7 @@
 	queueElement    *list.Element
 	admitted        bool           // the limiter counts it and must be called when it ends
 	unansweredAt    []logic.Micros // arrival times of its messages that the server has not answered yet
+	pendingMove     *pendingMove   // nil unless it is to be moved once its server's line has ended
 	connectedAt     logic.Micros   // when it was accepted, also if a predecessor process did so
 	takenOverSocket *os.File       // its socket from a predecessor process, until the event loop has it
 	pendingInput    []byte         // bytes from its server or from itself that came before the event loop had its socket
@@ -61,6 +62,7 @@
 	switch {
 	case c.request.WasEstablished():
 		p.serverDataReceived(c.attempt, pending)
+		p.continueMove(c, false)
 	case !p.ensureDescriptors(0):
 		p.socketRefusals++
 		p.refuse(c, reasonNoDescriptors)
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -37,6 +37,7 @@
 	evacuationDelay    = 250 * millisecond
 	evacuationMovesEnd = 1000 * millisecond
 	evacuationExpireAt = 3400 * millisecond
+	evacuationEnd      = 3800 * millisecond // a client whose server is still within a line is cut off then
 )
 
 // setMode changes the mode and returns its generation. Actions begun under the previous mode stop.
@@ -65,7 +66,10 @@
 		}
 	})
 	p.scheduleAfter(lateArrivalWindow+moveSpan, func() { p.startMoving(generation, 0) }) // for what could not be handed over
-	p.scheduleAfter(lateArrivalWindow+span, p.expirePending)
+	p.scheduleAfter(lateArrivalWindow+span, func() {
+		p.expirePending()
+		p.finishPendingMoves()
+	})
 	p.scheduleAfter(lateArrivalWindow+span+50*millisecond, p.quit)
 }
 
@@ -101,6 +105,11 @@
 			p.expirePending()
 		}
 	})
+	p.scheduleAfter(evacuationEnd, func() {
+		if p.modeGeneration == generation {
+			p.finishPendingMoves()
+		}
+	})
 }
 
 // rejoin makes an evacuating proxy serve again. What it has learnt about the servers is kept.
@@ -119,7 +128,7 @@
 		return
 	}
 	now := p.now()
-	established := p.establishedClients()
+	established := slices.DeleteFunc(p.establishedClients(), func(c *client) bool { return c.pendingMove != nil })
 	if p.mode == leaving && len(p.clients) == 0 && now >= until {
 		p.quit()
 		return
@@ -195,9 +204,7 @@
 		return
 	}
 	for _, c := range p.establishedClients() {
-		if c.conn != nil && c.attempt.parser.AtLineStart() {
-			p.moveClient(c, logic.Cancelled, byLeaving)
-		}
+		p.moveClient(c, logic.Cancelled, byLeaving)
 	}
 	if p.handover == nil { // otherwise new clients wait in the backlog of the listening socket, which a successor shares
 		p.refuseAwaitingRequest()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -33,9 +33,13 @@
 	for range min(bytes.Count(data, []byte{'\n'}), maxUnanswered-len(c.unansweredAt)) {
 		c.unansweredAt = append(c.unansweredAt, now)
 	}
+	if a.blocked {
+		return
+	}
 	_, _ = a.conn.Write(data) // a failure is reported as the end of the connection
 	if !a.finished && a.conn.OutboundBuffered() > maxUnsentBytes {
 		p.log.Warn("server does not read; moving its client", "server", a.server.endpoint)
+		a.blocked = true
 		p.moveClient(c, logic.Reset, bySilence)
 	}
 }
@@ -126,49 +130,6 @@
 	}
 }
 
-// Move asks the client of an established connection to reconnect, and closes the connection. It implements
-// host.Executor.
-func (p *Proxy) Move(id logic.AttachmentID) {
-	c := p.clients[id]
-	if c == nil || !c.request.WasEstablished() {
-		return
-	}
-	by := byChoice
-	if status, known := p.instance.ServerStatus(p.now(), c.attempt.server.id); known && status.State != logic.Ready {
-		by = byDrain
-	}
-	p.moveClient(c, logic.Cancelled, by)
-}
-
-// moveClient asks a client to reconnect and closes both of its connections, as soon as the server's current line has
-// been relayed completely, or after a second.
-func (p *Proxy) moveClient(c *client, outcome logic.Outcome, by string) {
-	p.moveClientBy(c, outcome, by, p.now()+second)
-}
-
-// moveClientBy does the work of moveClient. From the deadline on it no longer waits for the end of a line; MOVE is
-// never sent within one.
-func (p *Proxy) moveClientBy(c *client, outcome logic.Outcome, by string, deadline logic.Micros) {
-	a := c.attempt
-	if c.request.HasEnded() {
-		return
-	}
-	if (!a.parser.AtLineStart() || c.conn == nil) && p.now() < deadline {
-		p.scheduleAfter(10*millisecond, func() { p.moveClientBy(c, outcome, by, deadline) })
-		return
-	}
-	if a.parser.AtLineStart() && c.conn != nil {
-		_, _ = c.conn.Write(protocol.MoveLine) // a failure is reported as the end of the connection
-		if c.request.HasEnded() {
-			return
-		}
-	}
-	p.endEstablished(c, by)
-	p.instance.DispatchEnded(p.now(), c.id, outcome, true)
-	p.closeConn(a.conn, false)
-	p.closeAnswered(c)
-}
-
 // tick runs once a second. It reports to the balancer how long messages take at each late server with established
 // connections, and once more when a server is no longer late. It moves clients whose server does not answer, removes
 // expired orders, and logs what happened since the last tick.
@@ -194,7 +155,7 @@
 		}
 		age := now - c.unansweredAt[0]
 		waitTimes[c.attempt.server] = append(waitTimes[c.attempt.server], age)
-		if age > responseTimeout {
+		if age > responseTimeout && c.pendingMove == nil {
 			unanswered = append(unanswered, c)
 		}
 	}
@@ -211,8 +172,7 @@
 	for _, c := range unanswered {
 		if !c.request.HasEnded() {
 			p.log.Warn("server does not answer messages; moving its client", "server", c.attempt.server.endpoint)
-			// At once, even within a line: the rest of the line is not expected any more.
-			p.moveClientBy(c, logic.Reset, bySilence, now)
+			p.moveClient(c, logic.Reset, bySilence)
 		}
 	}
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -31,6 +31,7 @@
 	ConfigsLoaded, ConfigsInvalid uint64 // configurations that were applied, and that were rejected
 	AcceptRetries                 uint64 // accept calls that failed and were repeated
 	RegisterRetries               uint64 // connections whose registration with the event loop failed at first
+	CutWithinLine                 uint64 // clients that were cut off without MOVE, because their server was within a line
 	DialRetries                   uint64 // dials that were repeated because this machine was short of a resource
 
 	refused, retried, closed, violations countsByLabel
@@ -131,6 +132,7 @@
 	writeMetric("conf_invalid", "counter", s.counters.ConfigsInvalid)
 	writeMetric("accept_retries", "counter", s.counters.AcceptRetries)
 	writeMetric("register_retries", "counter", s.counters.RegisterRetries)
+	writeMetric("cut_within_line", "counter", s.counters.CutWithinLine)
 	writeMetric("dial_retries", "counter", s.counters.DialRetries)
 	writeByLabel := func(name, key string, counts countsByLabel) {
 		writeType(name, "counter")
