A successor makes room for descriptors, the old process keeps its own until confirmed

Cause: two faults. (1) takeOver and registerInBackground took descriptors that nobody counted, up to six a connection until the loop has it, and no idle client made room. (2) succession.Receive gave the whole channel up at MSG_CTRUNC, and handOverEstablished had closed its own descriptors at the send: the batch of 32 in the channel was lost. Evidence, with a log line added: 9 ms after SIGTERM "the predecessor process disconnected", why "a packet was truncated", 870 descriptors counted of 958; then "accept failed: too many open files".

Change: reserveTakeover sets descriptors aside before a packet is received, eight connections at a time; accepted sockets count until the loop has them. Packets with descriptors are numbered and confirmed or refused; until then the old process keeps its descriptors (transfer.go), takes back what is refused or unconfirmed when the channel ends, and sends MOVE for the rest at its end. A truncated or undecodable packet ends only itself (an undecodable one was acted on before). Older versions are not asked to confirm.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
@@ -21,22 +20,22 @@
 
 // client is an accepted connection, with its request and its current attempt. It owns its socket and the attempt.
 type client struct {
-	conn            gnet.Conn
-	parser          protocol.Client
-	id              logic.AttachmentID // 0 until its request is accepted
-	class           string             // the class it asked for; "" until that is known to be configured
-	attachment      *logic.Attachment
-	attempt         *attempt // under way or established; nil if there is none
-	request         lifecycle.Request
-	lastOutcome     logic.Outcome // of its last attempt that ended
-	queue           *list.List    // the proxy's awaitingRequest or lingering while it is in one of them
-	queueElement    *list.Element
-	admitted        bool           // the limiter counts it and must be called when it ends
-	unansweredAt    []logic.Micros // arrival times of its messages that the server has not answered yet
-	pendingMove     *pendingMove   // nil unless it is to be moved once its server's line has ended
-	connectedAt     logic.Micros   // when it was accepted, also if a predecessor process did so
-	takenOverSocket *os.File       // its socket from a predecessor process, until the event loop has it
-	pendingInput    []byte         // bytes from its server or from itself that came before the event loop had its socket
+	conn         gnet.Conn
+	parser       protocol.Client
+	id           logic.AttachmentID // 0 until its request is accepted
+	class        string             // the class it asked for; "" until that is known to be configured
+	attachment   *logic.Attachment
+	attempt      *attempt // under way or established; nil if there is none
+	request      lifecycle.Request
+	lastOutcome  logic.Outcome // of its last attempt that ended
+	queue        *list.List    // the proxy's awaitingRequest or lingering while it is in one of them
+	queueElement *list.Element
+	admitted     bool           // the limiter counts it and must be called when it ends
+	unansweredAt []logic.Micros // arrival times of its messages that the server has not answered yet
+	pendingMove  *pendingMove   // nil unless it is to be moved once its server's line has ended
+	connectedAt  logic.Micros   // when it was accepted, also if a predecessor process did so
+	takeover     *takeover      // while the event loop does not have its socket from a predecessor process yet
+	pendingInput []byte         // bytes from its server or from itself that came before the event loop had its socket
 
 	reports loadreports.Conn // its reported loads
 }
@@ -101,7 +100,7 @@
 // not left, then those that have not sent a whole request, the oldest first. This keeps hundreds of idle connections from
 // blocking requests. It returns false if all descriptors are in use for requests.
 func (p *Proxy) ensureDescriptors(n int) bool {
-	for p.openSockets+n > p.maxSockets {
+	for p.openSockets+int(p.unregistered.Load())+n > p.maxSockets {
 		oldest := p.lingering.Front()
 		if oldest == nil {
 			oldest = p.awaitingRequest.Front()
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -4,16 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
-	"syscall"
+	"slices"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
-	"hatchproxy/internal/discovery"
-	"hatchproxy/internal/loadreports"
-	"hatchproxy/internal/protocol"
 	"hatchproxy/internal/succession"
 	"hatchproxy/internal/transient"
 	"hatchproxy/logic"
@@ -27,6 +25,8 @@
 	predecessor       *succession.Conn     // to the process that ran before; nil if there is none
 	successor         *succession.Conn     // to the process that is to replace this one; nil if there is none
 	successorReady    bool                 // the successor accepts clients and can be handed connections
+	successorConfirms bool                 // the successor confirms the connections that it is sent
+	transfers         transfers            // connections that were sent to the successor and are not confirmed
 }
 
 // InheritListener makes the proxy accept on an inherited listening TCP socket and, when it leaves, hand its clients over to
@@ -70,7 +70,7 @@
 	p.acceptor.Resume()
 	p.listenForSuccessor()
 	if h.predecessor != nil {
-		p.sendPacket(h.predecessor, packet{Ready: true})
+		p.sendPacket(h.predecessor, packet{Ready: true, Confirms: true})
 	}
 }
 
@@ -112,10 +112,14 @@
 	}
 }
 
-// packet is the JSON message between predecessor and successor; each carries one field. The processes may be of different
-// versions, so the JSON names must not change.
+// packet is the JSON message between predecessor and successor; each carries one field, and Number or Confirms with it. The
+// processes may be of different versions, so the JSON names must not change.
 type packet struct {
 	Ready             bool               `json:",omitempty"`        // from the successor: it accepts clients
+	Confirms          bool               `json:",omitempty"`        // with Ready: it answers each numbered packet by Confirmed or Refused
+	Confirmed         uint64             `json:",omitempty"`        // from the successor: the number of a packet whose connection it holds
+	Refused           uint64             `json:",omitempty"`        // from the successor: the number of a packet that came without its descriptors
+	Number            uint64             `json:",omitempty"`        // identifies a packet with descriptors, from 1 on
 	Established       *establishedConn   `json:"Stands,omitempty"`  // comes with the client's socket and the server's
 	IncompleteRequest *incompleteRequest `json:"Unasked,omitempty"` // comes with the client's socket
 
@@ -158,9 +162,13 @@
 }
 
 // successorConnected handles a process that is to replace this one, and receives its packets. If another successor was
-// connected before, the last one counts.
+// connected before, the last one counts, unless connections are on their way to the other one.
 func (p *Proxy) successorConnected(c *succession.Conn) {
 	h := p.handover
+	if len(h.transfers.unconfirmed) > 0 {
+		c.Close()
+		return
+	}
 	if h.successor != nil {
 		h.successor.Close()
 	}
@@ -180,13 +188,28 @@
 				p.post(func() { p.successorGone(c) })
 				return
 			}
-			if message.Ready {
-				p.post(func() { p.successorReady(c) })
-			}
+			p.post(func() { p.successorSent(c, message) })
 		}
 	}()
 }
 
+// successorSent handles a packet from a successor.
+func (p *Proxy) successorSent(c *succession.Conn, message packet) {
+	if p.handover.successor != c {
+		return
+	}
+	switch {
+	case message.Ready:
+		p.handover.successorConfirms = message.Confirms
+		p.successorReady(c)
+	case message.Confirmed != 0:
+		p.transferConfirmed(message.Confirmed)
+	case message.Refused != 0:
+		p.log.Warn("the successor process did not get a connection's descriptors; taking it back", "number", message.Refused)
+		p.takeBack(message.Refused)
+	}
+}
+
 // successorReady leaves new clients to the successor, and sends it the balancer's state and the current mode. If both
 // processes placed requests at once, each would use the whole budget for cold servers.
 func (p *Proxy) successorReady(c *succession.Conn) {
@@ -228,7 +251,10 @@
 		return
 	}
 	h.successor, h.successorReady = nil, false
-	p.log.Warn("the successor process disconnected")
+	p.log.Warn("the successor process disconnected", "unconfirmed", len(h.transfers.unconfirmed))
+	for _, number := range slices.Sorted(maps.Keys(h.transfers.unconfirmed)) {
+		p.takeBack(number)
+	}
 	oldListener := h.successorListener // the name of its socket may belong to the successor now
 	h.successorListener = nil
 	p.startAccepting()
@@ -245,86 +271,6 @@
 // hasSuccessor reports whether a successor is ready to take over this process's connections.
 func (p *Proxy) hasSuccessor() bool { return p.handover != nil && p.handover.successorReady }
 
-// handOverAll hands over the connections that can be handed over now and repeats this every 10 ms. It ends when no
-// connection is left or the mode has changed. If the successor is gone, the clients are moved within moveSpan.
-func (p *Proxy) handOverAll(generation int, moveSpan logic.Micros) {
-	if p.modeGeneration != generation || p.movedGeneration == generation {
-		return
-	}
-	if !p.hasSuccessor() {
-		p.startMoving(generation, moveSpan)
-		return
-	}
-	for e := p.awaitingRequest.Front(); e != nil && p.hasSuccessor(); {
-		c := e.Value.(*client)
-		e = e.Next()
-		p.handOverIncompleteRequest(c)
-	}
-	handedOver := 0
-	for _, c := range p.establishedClients() {
-		if p.hasSuccessor() && handedOver < handOverBatch && p.handOverEstablished(c) {
-			handedOver++
-		}
-	}
-	if len(p.clients) == 0 && p.awaitingRequest.Len() == 0 && p.lingering.Len() == 0 {
-		p.quit()
-		return
-	}
-	p.scheduleAfter(10*millisecond, func() { p.handOverAll(generation, moveSpan) })
-}
-
-// handOverBatch is how many established connections are handed over at a time, so that descriptors don't pile up between
-// the two processes.
-const handOverBatch = 32
-
-// handOverEstablished hands an established connection over to the successor and reports whether it did. It does so only
-// between two lines and with no unsent output, so that no bytes are lost or reordered.
-func (p *Proxy) handOverEstablished(c *client) bool {
-	a := c.attempt
-	if c.conn == nil || a.conn == nil || !a.parser.AtLineStart() || c.conn.OutboundBuffered() > 0 || a.conn.OutboundBuffered() > 0 {
-		return false
-	}
-	clientFD, err := c.conn.Dup()
-	if err != nil {
-		return false
-	}
-	defer syscall.Close(clientFD)
-	serverFD, err := a.conn.Dup()
-	if err != nil {
-		return false
-	}
-	defer syscall.Close(serverFD)
-	message := packet{Established: &establishedConn{c.parser.ID, c.parser.Key, c.parser.Group, c.class, a.server.uid, c.reports.Load, c.reports.EstablishedAt, c.unansweredAt}}
-	if !p.sendPacket(p.handover.successor, message, clientFD, serverFD) {
-		p.handover.successorReady = false // its disconnection will be noticed, and the other clients are moved
-		return false
-	}
-	p.endEstablished(c, bySuccessor)
-	p.instance.ClientLeft(p.now(), c.id)
-	p.closeLocally(c.conn)
-	p.closeLocally(a.conn)
-	return true
-}
-
-// handOverIncompleteRequest hands a client that has not sent its whole first line over to the successor.
-func (p *Proxy) handOverIncompleteRequest(c *client) {
-	if c.conn.OutboundBuffered() > 0 {
-		return
-	}
-	clientFD, err := c.conn.Dup()
-	if err != nil {
-		return
-	}
-	defer syscall.Close(clientFD)
-	if !p.sendPacket(p.handover.successor, packet{IncompleteRequest: &incompleteRequest{c.parser.PartialLine(), c.connectedAt}}, clientFD) {
-		p.handover.successorReady = false
-		return
-	}
-	c.leaveQueue()
-	p.releaseClient(c)
-	p.closeLocally(c.conn)
-}
-
 // closeLocally closes this process's descriptor of a connection that another process continues.
 func (p *Proxy) closeLocally(conn gnet.Conn) { _ = p.loop.Close(conn) }
 
@@ -341,115 +287,3 @@
 	}
 	h.predecessor = c
 }
-
-// receiveFromPredecessor receives the predecessor's packets in the background, if there is one.
-func (p *Proxy) receiveFromPredecessor() {
-	c := p.handover.predecessor
-	if c == nil {
-		return
-	}
-	go func() {
-		defer c.Close()
-		for {
-			text, files, err := c.Receive()
-			if err != nil {
-				p.post(func() { p.handover.predecessor = nil })
-				return
-			}
-			var message packet
-			if err := json.Unmarshal(text, &message); err != nil {
-				p.log.Warn("invalid packet from the predecessor process", "error", err)
-			}
-			p.post(func() { p.takeOver(message, files) })
-		}
-	}()
-}
-
-// takeOver handles a packet from the predecessor. It owns the files.
-func (p *Proxy) takeOver(message packet, files []*os.File) {
-	switch {
-	case message.Memory != nil:
-		p.instance.Restore(*message.Memory)
-	case message.Evacuating:
-		p.evacuate()
-	case message.Rejoined:
-		p.rejoin()
-	case message.IncompleteRequest != nil && len(files) == 1:
-		p.registerInBackground(&client{connectedAt: message.IncompleteRequest.ConnectedAt, pendingInput: message.IncompleteRequest.Received}, files[0], protocol.BusyLine(0))
-	case message.Established != nil && len(files) == 2:
-		p.resumeEstablished(message.Established, files[0], files[1])
-	default:
-		for _, file := range files {
-			_ = file.Close()
-		}
-	}
-}
-
-// registerInBackground registers a connection that was taken over with the event loop. If that fails, the connection is
-// closed after finalLine, which is nil for a server's. The file is closed in any case.
-func (p *Proxy) registerInBackground(owner any, file *os.File, finalLine []byte) {
-	go func() {
-		if p.registerFile(owner, file) == nil {
-			_ = file.Close()
-			return
-		}
-		if err := p.registerWithRetry(owner, file, finalLine); err != nil && p.ctx.Err() == nil {
-			p.post(func() { p.registrationFailed(owner) })
-		}
-	}()
-}
-
-// registrationFailed ends the other side of a connection that could not be registered with the event loop.
-func (p *Proxy) registrationFailed(owner any) {
-	switch owner := owner.(type) {
-	case *client:
-		p.clientClosed(owner, false)
-	case *attempt:
-		p.serverClosed(owner, false)
-	}
-}
-
-// serverResumed completes the server side of a connection that was taken over, and then registers the client's socket, so
-// that the client's bytes have somewhere to go.
-func (p *Proxy) serverResumed(c *client, conn gnet.Conn) gnet.Action {
-	if c.request.HasEnded() {
-		_ = c.takenOverSocket.Close()
-		return gnet.Close
-	}
-	p.openSockets++
-	c.attempt.conn = conn
-	p.registerInBackground(c, c.takenOverSocket, protocol.MoveLine)
-	c.takenOverSocket = nil
-	return gnet.None
-}
-
-// resumeEstablished takes over an established connection from the predecessor, its server side first.
-func (p *Proxy) resumeEstablished(info *establishedConn, clientFile, serverFile *os.File) {
-	server := p.servers[discovery.ServerID(info.Server)]
-	if server == nil || p.openIDs[info.ID] {
-		// The server is not on this process's list, or the id is in use: the client is asked to reconnect.
-		sendFinalLine(clientFile, protocol.MoveLine)
-		_ = clientFile.Close()
-		_ = serverFile.Close()
-		return
-	}
-	now := p.now()
-	c := &client{class: info.Class, unansweredAt: info.UnansweredAt, connectedAt: now, takenOverSocket: clientFile}
-	c.request.Resume()
-	c.parser.ID, c.parser.Key, c.parser.Group, c.parser.Product = info.ID, info.Key, info.Group, info.Class
-	c.reports = loadreports.Conn{EstablishedAt: info.EstablishedAt, Load: info.Load}
-	a := &attempt{client: c, server: server, startedAt: now, deadline: now, closeOutcome: logic.Reset, cancelDial: func() {}}
-	a.parser.Resume()
-	c.attempt = a
-	p.lastID++
-	c.id = p.lastID
-	p.openIDs[info.ID] = true
-	c.attachment = &logic.Attachment{ID: c.id, Product: p.classes[info.Class].product, Group: info.Group, Key: info.Key, Returning: true, ArrivedAt: now, HardLimit: now}
-	p.clients[c.id] = c
-	server.establishedCount++
-	p.instance.ConnectionResumed(now, c.attachment, server.id)
-	if info.Load > 0 {
-		p.instance.LoadChanged(now, c.id, info.Load)
-	}
-	p.registerInBackground(a, serverFile, nil)
-}
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -296,6 +298,50 @@
 	c.send("M 1\r\n")
 }
 
+// A successor that says that it confirms connections, and then refuses one and ends with another unconfirmed, holds neither.
+// Guards against clients that are cut off without MOVE because their only descriptors were in a packet that got lost.
+func TestConnectionsThatTheSuccessorDoesNotHoldAreMoved(t *testing.T) {
+	h := newHandoverEnv(t)
+	first := h.startProcess()
+	clients := []*testClient{first.openRequest("c=chat,d=1500"), first.openRequest("c=chat,d=1500")}
+	for _, c := range clients {
+		c.expectLine("UP a")
+	}
+	partial := first.dial("OPEN 77 7 c=ch")
+	successor, err := succession.Dial(h.folder)
+	require.NoError(t, err)
+	require.NoError(t, successor.Send([]byte(`{"Ready":true,"Confirms":true}`)))
+	first.leaveSignals <- syscall.SIGTERM
+	for established, refused := 0, false; established < len(clients); {
+		text, files, err := successor.Receive()
+		require.NoError(t, err, "the connections were not handed over")
+		for _, f := range files {
+			_ = f.Close()
+		}
+		var packet struct {
+			Number uint64
+			Stands json.RawMessage
+		}
+		require.NoError(t, json.Unmarshal(text, &packet))
+		if packet.Stands == nil {
+			continue
+		}
+		if !refused { // it comes again
+			refused = true
+			require.NoError(t, successor.Send(fmt.Appendf(nil, `{"Refused":%d}`, packet.Number)))
+			continue
+		}
+		established++
+	}
+	successor.Close()
+	for _, c := range clients {
+		c.expectLine("MOVE")
+		c.expectEnd(false)
+	}
+	partial.expectLine("BUSY")
+	first.waitForExit(3 * time.Second)
+}
+
 // isFindable reports whether a successor would find a process through the folder.
 func isFindable(folder string) bool {
 	c, err := succession.Dial(folder)
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -129,7 +129,7 @@
 	}
 	now := p.now()
 	established := slices.DeleteFunc(p.establishedClients(), func(c *client) bool { return c.pendingMove != nil })
-	if p.mode == leaving && len(p.clients) == 0 && now >= until {
+	if p.mode == leaving && len(p.clients) == 0 && p.unconfirmedTransfers() == 0 && now >= until {
 		p.quit()
 		return
 	}
@@ -209,10 +209,11 @@
 	if p.handover == nil { // otherwise new clients wait in the backlog of the listening socket, which a successor shares
 		p.refuseAwaitingRequest()
 	}
-	if (len(p.establishedClients()) > 0 || p.lingering.Len() > 0) && p.now() < deadline {
+	if (len(p.establishedClients()) > 0 || p.lingering.Len() > 0 || p.unconfirmedTransfers() > 0) && p.now() < deadline {
 		p.scheduleAfter(10*millisecond, func() { p.quitBy(deadline) })
 		return
 	}
+	p.abandonTransfers()
 	p.quitting = true
 	p.acceptor.Close()
 	p.scheduleAfter(lastRegistrationWait, p.completeLeave)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,6 +81,8 @@
 	watchNumber       int                                                          // identifies the current watch; answers of earlier ones are ignored
 	ready             bool                                                         // a list has been received, or could not be while cached servers are known
 	openSockets       int                                                          // descriptors of client and server connections
+	unregistered      atomic.Int32                                                 // descriptors set aside for connections until the event loop has them
+	takeoverSlots     chan struct{}                                                // holds an element for each connection that is being taken over
 	dialFunc          func(ctx context.Context, endpoint string) (net.Conn, error) // connects to a server
 	scheduledCalls    callHeap
 	wakeTimer         *time.Timer
@@ -122,7 +124,7 @@
 		zones: map[string]logic.ZoneID{}, models: map[string]logic.ModelID{},
 		dialTimeout: o.DialTimeout, lateThreshold: o.LateThreshold, maxSockets: int(o.MaxDescriptors) - reservedSockets,
 		clients: map[logic.AttachmentID]*client{}, openIDs: map[uint64]bool{}, servers: map[logic.ServerID]*server{}, listVersion: discovery.NoVersion,
-		orders: orders.New(),
+		orders: orders.New(), takeoverSlots: make(chan struct{}, maxTakeovers),
 		dialFunc: func(ctx context.Context, endpoint string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", endpoint)
 		},
--- a/internal/proxy/register.go
+++ b/internal/proxy/register.go
@@ -81,6 +81,10 @@
 	return p.register(owner, conn)
 }
 
+// registrationDescriptors is how many descriptors a connection has at most until the event loop holds it: the file that was
+// accepted or received, and two duplicates, one of the runtime's and one of gnet's.
+const registrationDescriptors = 3
+
 // alwaysRetry makes transient.Retry go on after any error.
 func alwaysRetry(error) bool { return true }
 
@@ -100,11 +104,16 @@
 
 // acceptClient registers a newly accepted client connection with the event loop.
 func (p *Proxy) acceptClient(file *os.File) {
+	p.unregistered.Add(registrationDescriptors)
 	c := &client{connectedAt: p.now()}
 	if err := p.registerFile(c, file); err == nil {
 		_ = file.Close()
+		p.unregistered.Add(-registrationDescriptors)
 		return
 	}
 	// In a goroutine of its own, so that the acceptor goes on with the connections behind this one.
-	go func() { _ = p.registerWithRetry(c, file, protocol.BusyLine(0)) }() // a failure has been logged and the client refused
+	go func() {
+		defer p.unregistered.Add(-registrationDescriptors)
+		_ = p.registerWithRetry(c, file, protocol.BusyLine(0)) // a failure has been logged and the client refused
+	}()
 }
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -52,8 +52,12 @@
 	})
 }
 
+// ErrTruncated reports that a packet came without all of its descriptors, because this process may open no more, or without
+// all of its bytes. The connection goes on.
+var ErrTruncated = errors.New("a packet was truncated")
+
 // Receive waits for a packet and returns it with the files that came with it, which the caller must close. It returns an
-// error if the connection is closed or the packet was truncated.
+// error if the connection is closed, and what came of the packet, without files, with ErrTruncated.
 func (c *Conn) Receive() (packet []byte, files []*os.File, err error) {
 	buffer, control := make([]byte, maxPacketBytes), make([]byte, syscall.CmsgSpace(4*maxFilesPerPacket))
 	n, controlLen, flags, _, err := c.conn.ReadMsgUnix(buffer, control)
@@ -80,7 +84,7 @@
 		for _, file := range files {
 			_ = file.Close()
 		}
-		return nil, nil, errors.New("a packet was truncated")
+		return buffer[:n], nil, ErrTruncated
 	}
 	return buffer[:n], files, nil
 }
--- a/internal/succession/succession_test.go
+++ b/internal/succession/succession_test.go
@@ -98,6 +98,31 @@
 	require.Error(t, err, "closing one side ends Receive on the other")
 }
 
+// Guards against a lost connection to the other process, and with it all packets under way, where one packet came without all
+// of its descriptors.
+func TestATruncatedPacketDoesNotEndTheConnection(t *testing.T) {
+	dir := shortTempDir(t)
+	_, accepted := startListener(t, dir)
+	successor, err := succession.Dial(dir)
+	require.NoError(t, err)
+	predecessor := <-accepted
+	null, err := os.Open(os.DevNull)
+	require.NoError(t, err)
+	defer null.Close()
+	fd := int(null.Fd())
+	require.NoError(t, predecessor.Send([]byte("more than there is room for"), fd, fd, fd, fd))
+	require.NoError(t, predecessor.Send([]byte("next"), fd))
+	packet, files, err := successor.Receive()
+	require.ErrorIs(t, err, succession.ErrTruncated)
+	require.Equal(t, "more than there is room for", string(packet))
+	require.Empty(t, files)
+	packet, files, err = successor.Receive()
+	require.NoError(t, err)
+	require.Equal(t, "next", string(packet))
+	require.Len(t, files, 1)
+	_ = files[0].Close()
+}
+
 func TestSendToAPeerThatDoesNotReadTimesOut(t *testing.T) {
 	dir := shortTempDir(t)
 	_, accepted := startListener(t, dir)
