A proxy leaves by the longest deadline of the classes in force

Cause: setClasses (internal/proxy/reload.go) only ever raised maxHardLimit, and leaveSpans (leave.go) spreads the moves over half of it. Evidence: the moves go on evenly until SIGKILL, 1.55 s after SIGTERM, where 0.4 + 1.5 s were planned. Ruled out: pending requests of the dropped class, a reload that was not taken (the class was answered with ERR). A lowered deadline does the same.

Change: the field is gone; leaveSpans takes the maximum of the classes in force.

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -22,8 +22,8 @@
 	// lateArrivalWindow is how long new connections may still arrive after the order to leave, until the load balancer
 	// in front has noticed.
 	lateArrivalWindow = 400 * millisecond
-	// maxLeaveSpan bounds the time for pending requests, which otherwise is the largest hard limit: SIGKILL follows
-	// soon after.
+	// maxLeaveSpan bounds the time for pending requests, which otherwise is the largest hard limit of the classes in
+	// force: SIGKILL follows soon after.
 	maxLeaveSpan = 3 * second
 	// moveSpanShare is the part of the time to leave over which established connections are moved, so that the clients
 	// do not all reach the other proxies at once. The rest is for connections that are still being set up.
@@ -76,7 +76,10 @@
 // leaveSpans returns how long a leaving proxy waits for its pending requests, and the part of that time over which it
 // moves its established connections.
 func (p *Proxy) leaveSpans() (span, moveSpan logic.Micros) {
-	span = min(p.maxHardLimit, maxLeaveSpan)
+	for _, class := range p.classes {
+		span = max(span, class.hardLimit)
+	}
+	span = min(span, maxLeaveSpan)
 	return span, max(minMoveSpan, logic.Micros(moveSpanShare*float64(span)))
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -51,7 +51,6 @@
 	host           *host.Host
 	instance       *host.Instance
 	classes        map[string]classConfig // by name
-	maxHardLimit   logic.Micros           // the largest hard limit of any class so far
 	zones          map[string]logic.ZoneID
 	models         map[string]logic.ModelID
 	dialTimeout    logic.Micros
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -32,7 +32,6 @@
 	p.classes = map[string]classConfig{}
 	for i, name := range names {
 		p.classes[name] = classConfig{ids[i], hardLimits[i]}
-		p.maxHardLimit = max(p.maxHardLimit, hardLimits[i])
 		p.counters.AddClass(name)
 	}
 }
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -18,11 +18,16 @@
 
 // reloadConfig makes the proxy reload its configuration: text holds the settings, names lists their classes in order.
 func (s *harness) reloadConfig(text string, names ...string) {
+	s.reloadWithHardLimit(900*logic.Millisecond, text, names...)
+}
+
+// reloadWithHardLimit is reloadConfig with another hard limit of all classes.
+func (s *harness) reloadWithHardLimit(hardLimit logic.Micros, text string, names ...string) {
 	s.readConfig = func() (proxy.ReloadedConfig, error) {
 		balancer, err := platformconfig.SettingsFromLines(text).NewBalancer(9)
 		limits := make([]logic.Micros, len(names))
 		for i := range limits {
-			limits[i] = 900 * logic.Millisecond
+			limits[i] = hardLimit
 		}
 		return proxy.ReloadedConfig{Discovery: discovery.NewClient(s.list.Address(), time.Second), Balancer: balancer, Classes: names, HardLimits: limits,
 			DialTimeout: 250 * logic.Millisecond, LateThreshold: 50 * logic.Millisecond}, err
@@ -71,3 +76,36 @@
 	s.waitForMetrics("conf_invalid 1", "conf_loaded 1")
 	s.openRequest("c=pay,d=1500").expectLine("UP a")
 }
+
+// Guards against a proxy that leaves by the longest deadline that it ever had: SIGKILL, which follows the present one, cut its
+// clients off without MOVE.
+func TestAProxyLeavesByTheDeadlinesOfTheConfigurationInForce(t *testing.T) {
+	const longLimit, shortLimit = 3 * logic.Second, 600 * logic.Millisecond
+	for name, dropClass := range map[string]bool{"class dropped": true, "deadline lowered": false} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := startProxyWithConfig(t, configWithoutProbes, 1024, (*proxy.Proxy).EnableMetrics, "UP a")
+			s.reloadWithHardLimit(longLimit, configWithoutProbes, "chat", "pay")
+			s.waitForMetrics("conf_loaded 1")
+			if dropClass {
+				oneClass := strings.NewReplacer("products.count=2", "products.count=1", "message-aim-ms=150,150", "message-aim-ms=150").Replace(configWithoutProbes)
+				s.reloadWithHardLimit(shortLimit, oneClass, "chat")
+			} else {
+				s.reloadWithHardLimit(shortLimit, configWithoutProbes, "chat", "pay")
+			}
+			s.waitForMetrics("conf_loaded 2")
+			var clients []*testClient
+			for range 60 {
+				c := s.openRequest("c=chat,d=1500")
+				c.expectLine("UP a")
+				clients = append(clients, c)
+			}
+			began := time.Now()
+			s.leaveSignals <- syscall.SIGTERM
+			for _, c := range clients {
+				c.expectLine("MOVE")
+			}
+			require.NoError(t, <-s.runResult)
+			require.Less(t, time.Since(began), 1300*time.Millisecond, "SIGKILL follows the longest deadline in force and 0.7 s")
+		})
+	}
+}
