A proxy no longer cuts off its own calls to a crowded discovery service

Cause: while no watch stands, renewSubscription (logic/logic.go) asks anew every max(1 s, AskWithin/3), and Subscribe (internal/proxy/serverlist.go) cancelled the call that was open: each was given up 0.5 s before its answer. A cancelled call does not count as failed, so the process was not ready by its cached list either. Ruled out: the time limit of calls (4 s; they are answered after 2.5 s).

Change: Subscribe starts nothing while a watch is under way; a new service still replaces it (startWatch). A new process without an answer after 4 s is ready by its cached list. The rig's discovery can let calls queue (SetQueueTime).

--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -22,6 +22,9 @@
 	// agentRetryDelay is the wait before the next call to an agent after a failed one. It is short: an agent's changes
 	// count as delivered as soon as it can be reached, and calls to the proxy's own agent are cheap.
 	agentRetryDelay = 100 * millisecond
+	// cachedListDelay is how long a new process waits for a list before it serves by the one of an earlier run. Calls that are
+	// still unanswered then have failed at the service, which drops them after some seconds.
+	cachedListDelay = 4 * second
 )
 
 // listFreshness says how long the server list may be relied on. The protocol counts changes as delivered after fixed
@@ -64,12 +67,20 @@
 	})
 }
 
-// Subscribe starts a new watch on the server list. Answers to an earlier watch are ignored from then on. It implements
-// host.Executor.
+// Subscribe starts a watch on the server list unless one is under way: its call may be answered late, and would only lose its
+// place in the service's queue. It implements host.Executor.
 func (p *Proxy) Subscribe() {
+	if !p.watching {
+		p.startWatch()
+	}
+}
+
+// startWatch starts a new watch on the server list. Answers to an earlier watch are ignored from then on.
+func (p *Proxy) startWatch() {
 	if p.cancelWatch != nil {
 		p.cancelWatch()
 	}
+	p.watching = true
 	ctx, cancel := context.WithCancel(p.ctx)
 	p.cancelWatch = cancel
 	p.watchNumber++
@@ -88,8 +99,12 @@
 			p.startAccepting()
 		})
 	}
+	if number == 1 {
+		p.scheduleAfter(cachedListDelay, p.serveByCachedList)
+	}
+	service := p.discovery
 	go func() {
-		err := p.discovery.Follow(ctx, from, onUpdate)
+		err := service.Follow(ctx, from, onUpdate)
 		p.post(func() {
 			if number == p.watchNumber && p.ctx.Err() == nil {
 				p.watchFailed(err)
@@ -98,11 +113,21 @@
 	}()
 }
 
+// serveByCachedList makes a proxy ready that knows servers only from an earlier run and has had no answer by now.
+func (p *Proxy) serveByCachedList() {
+	if !p.ready && len(p.servers) > 0 && p.ctx.Err() == nil {
+		p.log.Warn("no answer with the server list yet; serving by the cached one")
+		p.ready = true
+		p.startAccepting()
+	}
+}
+
 // watchFailed handles the end of a watch and has the list requested again. In general a failed call does not extend the
 // list's freshness: a refusal, a reset or silence may affect this proxy alone, and a change counts as delivered a fixed
 // time after the service had it and could be reached.
 func (p *Proxy) watchFailed(err error) {
 	p.log.Warn("cannot get the server list", "error", err)
+	p.watching = false
 	p.ready = p.ready || len(p.servers) > 0
 	if now := p.now(); errors.Is(err, syscall.ECONNREFUSED) && now < p.listFreshness.freshUntil {
 		// Nobody can reach the service now: its further changes count as delivered only some time after it is back.
@@ -126,6 +151,6 @@
 	old := p.discovery
 	p.discovery, p.listVersion = to, discovery.NoVersion
 	p.extendFreshness(min(p.listFreshness.freshUntil, p.now()+newServiceDeliveryLimit))
-	p.Subscribe()
+	p.startWatch()
 	old.Close()
 }
--- a/internal/proxy/serverlist_test.go
+++ b/internal/proxy/serverlist_test.go
@@ -137,3 +137,32 @@
 		require.Equal(t, "UP a", s.openAndReadAnswer())
 	}
 }
+
+// crowdedQueueTime is how long calls wait at a crowded service: longer than the 1 s after which the balancer asks for the list
+// again with baseConfig, and shorter than the time after which calls are given up.
+const crowdedQueueTime = 1700 * time.Millisecond
+
+// Guards against a drain that is never heard while the service is crowded: the proxy's next call cut off each one that was
+// about to be answered.
+func TestACallToACrowdedServiceIsNotCutOffByTheNextOne(t *testing.T) {
+	s, servers := startProxyWithConfig(t, configWithoutProbes, 1024, (*proxy.Proxy).EnableMetrics, "UP a", "UP b")
+	s.list.SetFailure("down")
+	calls := s.list.RequestCount()
+	require.Eventually(t, func() bool { return s.list.RequestCount() > calls }, 5*time.Second, 5*time.Millisecond, "the watch has ended")
+	s.list.SetQueueTime(crowdedQueueTime)
+	s.list.SetServer("s0", "", "draining")
+	s.list.SetFailure("")
+	require.Eventually(t, func() bool { return strings.Contains(string(s.proxy.Metrics().Text()), "cluster_unhealthy 1\n") },
+		6*time.Second, 10*time.Millisecond, "the drain counts as delivered then")
+	for range 4 {
+		s.openRequest("c=chat,d=1500").expectLine("UP b")
+	}
+	require.Empty(t, servers[0].FirstLines())
+}
+
+// Guards against a process that is never ready because it cuts off its own calls while the service is crowded.
+func TestAProcessIsReadyWhileTheServiceIsCrowded(t *testing.T) {
+	h := newHandoverEnv(t)
+	h.list.SetQueueTime(crowdedQueueTime)
+	h.startProcess().openRequest("c=chat,d=1500").expectLine("UP a")
+}
--- a/lab/fleet/discovery.go
+++ b/lab/fleet/discovery.go
@@ -99,6 +99,7 @@
 	endpointOverrides map[string]string // the address that is shown instead, by endpoint
 	requestCount      int
 	lastUnanswered    int // requests up to this number are never answered
+	queueTime         time.Duration
 }
 
 // malformedAnswers are the answers of a discovery server whose failure is "garbage". A proxy must reject each as a whole.
@@ -200,6 +201,9 @@
 // SetDelay makes the server show changes of the list with a delay.
 func (d *DiscoveryServer) SetDelay(delay Micros) { d.update(func() { d.delay = delay }) }
 
+// SetQueueTime makes each request that arrives from now on wait for so long before it is worked on, as at a crowded service.
+func (d *DiscoveryServer) SetQueueTime(wait time.Duration) { d.update(func() { d.queueTime = wait }) }
+
 // SetFrozen makes the server keep showing the present version of the list, or the newest one again.
 func (d *DiscoveryServer) SetFrozen(frozen bool) {
 	d.update(func() {
@@ -251,11 +255,18 @@
 	fromRev, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	full := err != nil
 	holdMS, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
-	holdExpired := time.After(time.Duration(holdMS) * time.Millisecond)
 	d.mu.Lock()
 	d.requestCount++
-	requestNumber := d.requestCount
+	requestNumber, queueTime := d.requestCount, d.queueTime
 	d.mu.Unlock()
+	if queueTime > 0 {
+		select {
+		case <-time.After(queueTime):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	holdExpired := time.After(time.Duration(holdMS) * time.Millisecond)
 	d.list.mu.Lock()
 wait:
 	for {
