A new process sends nothing by an earlier run's list before its agent has answered

Cause: Subscribe (internal/proxy/serverlist.go) gave the first list of every process 6 s, as in a silent watch, and watchFailed made it ready at the first failed call.

Change: where lists are pushed, the list counts as outdated until the agent has answered; one that the present agent has not confirmed is not used again after a further span, also after SIGHUP.

--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -34,6 +34,7 @@
 	maxPollInterval logic.Micros // the longest time allowed between two requests for the list; 0 if none is set
 	pushedByAgent   bool         // the list comes from an agent, whose changes count as delivered at once
 	freshUntil      logic.Micros // a change made from now on counts as delivered then at the earliest
+	unanswered      bool         // the service has not answered since the start or since a configuration named it
 }
 
 // SetListLimits sets how old the server list may be when requests are sent by it: how long new requests may go to a
@@ -45,7 +46,8 @@
 
 // extendFreshness sets the time from which on changes count as delivered, and schedules the list to become outdated the
 // drain grace after it. After a further maxPollInterval the proxy uses the list again although it is outdated: a fleet
-// that serves nobody is worse than one that serves by an old list.
+// that serves nobody is worse than one that serves by an old list. That does not hold for the list that a new agent has
+// never confirmed.
 func (p *Proxy) extendFreshness(until logic.Micros) {
 	p.listFreshness.freshUntil = until
 	p.instance.SetListOutdated(false)
@@ -60,13 +62,31 @@
 		}
 	})
 	p.scheduleAt(end+p.listFreshness.maxPollInterval, func() {
-		if p.listFreshness.freshUntil == until && p.ctx.Err() == nil {
+		if p.listFreshness.freshUntil == until && !p.waitsForAgent() && p.ctx.Err() == nil {
 			p.log.Warn("the server list is still outdated; using it all the same")
 			p.instance.SetListOutdated(false)
 		}
 	})
 }
 
+// beginFreshness sets how long a new process may rely on the list of an earlier run. What an agent has counts as delivered from
+// the first moment of a process: nothing is sent by the earlier list then.
+func (p *Proxy) beginFreshness() {
+	p.listFreshness.unanswered = true
+	if !p.listFreshness.pushedByAgent {
+		p.extendFreshness(p.now() + silenceDeliveryLimit)
+		return
+	}
+	p.listFreshness.freshUntil = p.now()
+	p.instance.SetListOutdated(true)
+}
+
+// waitsForAgent reports whether an agent pushes the list and has not told anything since the start or since a configuration
+// named it.
+func (p *Proxy) waitsForAgent() bool {
+	return p.listFreshness.pushedByAgent && p.listFreshness.unanswered
+}
+
 // Subscribe starts a watch on the server list unless one is under way: its call may be answered late, and would only lose its
 // place in the service's queue. It implements host.Executor.
 func (p *Proxy) Subscribe() {
@@ -86,14 +106,14 @@
 	p.watchNumber++
 	number, from := p.watchNumber, p.listVersion
 	if p.listFreshness.freshUntil == 0 {
-		p.extendFreshness(p.now() + silenceDeliveryLimit)
+		p.beginFreshness()
 	}
 	onUpdate := func(version int64, hold time.Duration, visit func(discovery.ListVisitor)) {
 		p.post(func() {
 			if number != p.watchNumber {
 				return
 			}
-			p.listVersion, p.ready = version, true
+			p.listVersion, p.ready, p.listFreshness.unanswered = version, true, false
 			visit(&listUpdate{p, false})
 			p.extendFreshness(p.now() + max(silenceDeliveryLimit, logic.Micros(hold.Microseconds())+waitDeliveryLimit))
 			p.startAccepting()
@@ -128,8 +148,8 @@
 func (p *Proxy) watchFailed(err error) {
 	p.log.Warn("cannot get the server list", "error", err)
 	p.watching = false
-	p.ready = p.ready || len(p.servers) > 0
-	if now := p.now(); errors.Is(err, syscall.ECONNREFUSED) && now < p.listFreshness.freshUntil {
+	p.ready = p.ready || len(p.servers) > 0 && !p.waitsForAgent()
+	if now := p.now(); errors.Is(err, syscall.ECONNREFUSED) && now < p.listFreshness.freshUntil && !p.waitsForAgent() {
 		// Nobody can reach the service now: its further changes count as delivered only some time after it is back.
 		p.extendFreshness(max(p.listFreshness.freshUntil, now+silenceDeliveryLimit))
 	}
@@ -149,7 +169,7 @@
 // are specific to a service and the old one would hide changes. The current list is used until the first answer.
 func (p *Proxy) switchService(to *discovery.Client) {
 	old := p.discovery
-	p.discovery, p.listVersion = to, discovery.NoVersion
+	p.discovery, p.listVersion, p.listFreshness.unanswered = to, discovery.NoVersion, true
 	p.extendFreshness(min(p.listFreshness.freshUntil, p.now()+newServiceDeliveryLimit))
 	p.startWatch()
 	old.Close()
--- a/internal/proxy/serverlist_test.go
+++ b/internal/proxy/serverlist_test.go
@@ -1,6 +1,10 @@
 package proxy_test
 
 import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -166,3 +170,41 @@
 	h.list.SetQueueTime(crowdedQueueTime)
 	h.startProcess().openRequest("c=chat,d=1500").expectLine("UP a")
 }
+
+// Guards against requests that a new process sends by the list of an earlier run while its agent is silent: what the agent has
+// counts as delivered from the process's first moment.
+func TestANewProcessSendsNothingBeforeItsAgentHasAnswered(t *testing.T) {
+	t.Parallel()
+	list, err := fleet.StartManualDiscovery()
+	require.NoError(t, err)
+	server, err := fleet.StartScriptedServer(func(string) string { return "UP a" })
+	require.NoError(t, err)
+	list.SetServer("s0", server.Address, "ready")
+	list.SetFailure("down")
+	b, err := platformconfig.SettingsFromLines(configWithoutProbes).NewBalancer(7)
+	require.NoError(t, err)
+	placeholder, err := net.Listen("tcp", uniqueHost()+":0")
+	require.NoError(t, err)
+	require.NoError(t, placeholder.Close())
+	options := testOptions(slog.New(slog.DiscardHandler), b, placeholder.Addr().String(), list, 1024)
+	options.CachedList = fmt.Appendf(nil, `{"rev":1,"all":true,"targets":[{"uid":"s0","endpoint":%q,"az":"a","model":"m","state":"ready","capacity_hint":1}]}`, server.Address)
+	p := proxy.New(options)
+	p.SetListLimits(200*logic.Millisecond, 10*logic.Second, true)
+	s := &harness{T: t, listenAddr: options.Listen, list: list, leaveSignals: make(chan os.Signal, 1), runResult: make(chan error, 1), proxy: p}
+	go func() { s.runResult <- p.Run(s.leaveSignals, nil, nil) }()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", s.listenAddr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}, 5*time.Second, 5*time.Millisecond, "it listens")
+	require.Equal(t, "BUSY", s.openAndReadAnswer(), "not ready yet")
+	s.waitForPingAnswer("PONG")
+	require.Equal(t, "BUSY", s.openAndReadAnswer(), "ready, without a word of its agent")
+	require.Empty(t, server.FirstLines())
+	list.SetFailure("")
+	require.Eventually(t, func() bool { return s.openAndReadAnswer() == "UP a" }, 5*time.Second, 20*time.Millisecond)
+	s.leaveSignals <- syscall.SIGTERM
+	s.waitForExit(3 * time.Second)
+}
