--- a/internal/proxy/serverlist_test.go
+++ b/internal/proxy/serverlist_test.go
@@ -1,6 +1,10 @@
 package proxy_test
 
 import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -137,3 +141,70 @@
 		require.Equal(t, "UP a", s.openAndReadAnswer())
 	}
 }
+
+// crowdedQueueTime is how long calls wait at a crowded service: longer than the 1 s after which the balancer asks for the list
+// again with baseConfig, and shorter than the time after which calls are given up.
+const crowdedQueueTime = 1700 * time.Millisecond
+
+// Guards against a drain that is never heard while the service is crowded: the proxy's next call cut off each one that was
+// about to be answered.
+func TestACallToACrowdedServiceIsNotCutOffByTheNextOne(t *testing.T) {
+	s, servers := startProxyWithConfig(t, configWithoutProbes, 1024, (*proxy.Proxy).EnableMetrics, "UP a", "UP b")
+	s.list.SetFailure("down")
+	calls := s.list.RequestCount()
+	require.Eventually(t, func() bool { return s.list.RequestCount() > calls }, 5*time.Second, 5*time.Millisecond, "the watch has ended")
+	s.list.SetQueueTime(crowdedQueueTime)
+	s.list.SetServer("s0", "", "draining")
+	s.list.SetFailure("")
+	require.Eventually(t, func() bool { return strings.Contains(string(s.proxy.Metrics().Text()), "cluster_unhealthy 1\n") },
+		6*time.Second, 10*time.Millisecond, "the drain counts as delivered then")
+	for range 4 {
+		s.openRequest("c=chat,d=1500").expectLine("UP b")
+	}
+	require.Empty(t, servers[0].FirstLines())
+}
+
+// Guards against a process that is never ready because it cuts off its own calls while the service is crowded.
+func TestAProcessIsReadyWhileTheServiceIsCrowded(t *testing.T) {
+	h := newHandoverEnv(t)
+	h.list.SetQueueTime(crowdedQueueTime)
+	h.startProcess().openRequest("c=chat,d=1500").expectLine("UP a")
+}
+
+// Guards against requests that a new process sends by the list of an earlier run while its agent is silent: what the agent has
+// counts as delivered from the process's first moment.
+func TestANewProcessSendsNothingBeforeItsAgentHasAnswered(t *testing.T) {
+	t.Parallel()
+	list, err := fleet.StartManualDiscovery()
+	require.NoError(t, err)
+	server, err := fleet.StartScriptedServer(func(string) string { return "UP a" })
+	require.NoError(t, err)
+	list.SetServer("s0", server.Address, "ready")
+	list.SetFailure("down")
+	b, err := platformconfig.SettingsFromLines(configWithoutProbes).NewBalancer(7)
+	require.NoError(t, err)
+	placeholder, err := net.Listen("tcp", uniqueHost()+":0")
+	require.NoError(t, err)
+	require.NoError(t, placeholder.Close())
+	options := testOptions(slog.New(slog.DiscardHandler), b, placeholder.Addr().String(), list, 1024)
+	options.CachedList = fmt.Appendf(nil, `{"rev":1,"all":true,"targets":[{"uid":"s0","endpoint":%q,"az":"a","model":"m","state":"ready","capacity_hint":1}]}`, server.Address)
+	p := proxy.New(options)
+	p.SetListLimits(200*logic.Millisecond, 10*logic.Second, true)
+	s := &harness{T: t, listenAddr: options.Listen, list: list, leaveSignals: make(chan os.Signal, 1), runResult: make(chan error, 1), proxy: p}
+	go func() { s.runResult <- p.Run(s.leaveSignals, nil, nil) }()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", s.listenAddr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}, 5*time.Second, 5*time.Millisecond, "it listens")
+	require.Equal(t, "BUSY", s.openAndReadAnswer(), "not ready yet")
+	s.waitForPingAnswer("PONG")
+	require.Equal(t, "BUSY", s.openAndReadAnswer(), "ready, without a word of its agent")
+	require.Empty(t, server.FirstLines())
+	list.SetFailure("")
+	require.Eventually(t, func() bool { return s.openAndReadAnswer() == "UP a" }, 5*time.Second, 20*time.Millisecond)
+	s.leaveSignals <- syscall.SIGTERM
+	s.waitForExit(3 * time.Second)
+}
