Agents' folders of the rig are held in memory where the machine has room there

Beside three loops of dd bs=1M count=600 conv=fsync three tests of lab/chaos failed ("20.403s after the last fault; the bound is 17s"), in 206 s. Killed agents lose nothing of what they wrote in memory either, so the bounds and the faults are as strict there.

Change: lab/rundir makes a run's folder on /dev/shm if that is in memory with a gigabyte free, and else where temporary files go; the tests' log and the reports of hatchlab run, chaos and spread say which.

--- a/cmd/hatchlab/chaos.go
+++ b/cmd/hatchlab/chaos.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"hatchproxy/lab/chaos"
+	"hatchproxy/lab/rundir"
 )
 
 func chaosCommand() *cobra.Command {
@@ -55,7 +56,7 @@
 			if voters < 1 || agents < voters || commands < 1 {
 				return fmt.Errorf("%d agents, %d of them voters, %d commands: need at least one voter and one command, and no more voters than agents", agents, voters, commands)
 			}
-			folder, err := os.MkdirTemp("", "hc")
+			folder, storage, err := rundir.New()
 			if err != nil {
 				return err
 			}
@@ -72,8 +73,8 @@
 			percentile := func(sorted []time.Duration, percent int) time.Duration {
 				return sorted[len(sorted)*percent/100].Round(100 * time.Microsecond)
 			}
-			fmt.Fprintf(c.OutOrStdout(), "%d agents, %d voters, %d commands: answered p50 %v, p99 %v; applied by all p50 %v, p99 %v; without commands %.0f bytes/s\n",
-				agents, voters, commands, percentile(spread.AnswerTimes, 50), percentile(spread.AnswerTimes, 99), percentile(spread.ApplyTimes, 50), percentile(spread.ApplyTimes, 99), spread.IdleBytesPerSecond)
+			fmt.Fprintf(c.OutOrStdout(), "%d agents, %d voters, %d commands: answered p50 %v, p99 %v; applied by all p50 %v, p99 %v; without commands %.0f bytes/s; folders in %s\n",
+				agents, voters, commands, percentile(spread.AnswerTimes, 50), percentile(spread.AnswerTimes, 99), percentile(spread.ApplyTimes, 50), percentile(spread.ApplyTimes, 99), spread.IdleBytesPerSecond, storage)
 			return nil
 		},
 	}
@@ -87,12 +88,17 @@
 // runChaos runs the schedules of consecutive seeds, some of them in parallel, and prints what they came to. It returns
 // errChecksFailed if a schedule broke a rule, and the first error of a schedule that could not be run.
 func runChaos(ctx context.Context, out io.Writer, spec *chaos.Spec, binary, outputFolder string, seed int64, runs, parallel int) error {
+	var mu sync.Mutex
+	foldersByStorage := map[rundir.Storage]int{}
 	runSchedule := func(seed int64, faults []chaos.Fault) (chaos.Record, []chaos.Breach, error) {
-		folder, err := os.MkdirTemp("", "hc")
+		folder, storage, err := rundir.New()
 		if err != nil {
 			return chaos.Record{}, nil, err
 		}
 		defer os.RemoveAll(folder)
+		mu.Lock()
+		foldersByStorage[storage]++
+		mu.Unlock()
 		cluster, err := chaos.NewCluster([]string{binary, "serve", "--log-level", "warn"}, folder, spec.ClusterConfig(seed))
 		if err != nil {
 			return chaos.Record{}, nil, err
@@ -101,7 +107,6 @@
 		r, err := cluster.RunSchedule(ctx, faults)
 		return r, chaos.FindBreaches(r, spec.SettleBound()), err
 	}
-	var mu sync.Mutex
 	var settled []time.Duration
 	faultCounts, failed, answered := map[chaos.Kind]int{}, 0, 0
 	var firstErr error
@@ -167,6 +172,9 @@
 	slices.Sort(settled)
 	fmt.Fprintf(out, "%d schedules, %d failed; %d commands answered; settled after the last fault p50 %v, p99 %v, worst %v\n", len(settled), failed, answered,
 		settled[len(settled)/2].Round(time.Millisecond), settled[len(settled)*99/100].Round(time.Millisecond), settled[len(settled)-1].Round(time.Millisecond))
+	for _, storage := range slices.Sorted(maps.Keys(foldersByStorage)) {
+		fmt.Fprintf(out, "  played with the agents' folders in %s: %d\n", storage, foldersByStorage[storage])
+	}
 	for _, k := range slices.Sorted(maps.Keys(faultCounts)) {
 		fmt.Fprintf(out, "  %-9s %d\n", k, faultCounts[k])
 	}
--- a/cmd/hatchlab/run.go
+++ b/cmd/hatchlab/run.go
@@ -17,6 +17,7 @@
 
 	"hatchproxy/lab/experiment"
 	"hatchproxy/lab/report"
+	"hatchproxy/lab/rundir"
 )
 
 // runner holds the flags that the commands share and runs experiments by them.
@@ -118,10 +119,11 @@
 func (r *runner) runOnce(ctx context.Context, f *experiment.File, binary string, placement experiment.Placement, seed uint64, progress io.Writer) (*experiment.Result, error) {
 	folder := r.keepFolder
 	if folder == "" {
-		temporary, err := os.MkdirTemp("", "hatchlab-run-")
+		temporary, storage, err := rundir.New()
 		if err != nil {
 			return nil, err
 		}
+		r.progressFunc(progress)("the files of the run are held in: %s", storage)
 		defer os.RemoveAll(temporary)
 		folder = temporary
 	} else {
--- a/lab/chaos/chaos_test.go
+++ b/lab/chaos/chaos_test.go
@@ -22,6 +22,7 @@
 	"hatchproxy/agent"
 	"hatchproxy/agent/clusterstate"
 	"hatchproxy/lab/chaos"
+	"hatchproxy/lab/rundir"
 )
 
 // TestMain lets the test binary also run as an agent, as HATCH_ROLE says: "agent" is a real one, the others are faulty on purpose so
@@ -130,7 +131,10 @@
 func newClusterWith(t *testing.T, role string, config chaos.ClusterConfig) *chaos.Cluster {
 	binary, err := os.Executable()
 	require.NoError(t, err)
-	folder := t.TempDir()
+	folder, storage, err := rundir.New()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	t.Logf("the agents' folders are held in: %s", storage)
 	cluster, err := chaos.NewCluster([]string{"/usr/bin/env", "HATCH_ROLE=" + role, binary}, folder, config)
 	require.NoError(t, err)
 	t.Cleanup(func() {
--- a/lab/experiment/machines_test.go
+++ b/lab/experiment/machines_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hatchproxy/lab/experiment"
+	"hatchproxy/lab/rundir"
 )
 
 // buildAgent builds the agent once, next to the proxy's binary, and returns the path of its binary.
@@ -44,7 +45,10 @@
 	}
 	file, err := experiment.Parse("fleet.toml", []byte(toml))
 	require.NoError(t, err)
-	dir := t.TempDir()
+	dir, storage, err := rundir.New()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	t.Logf("the agents' folders are held in: %s", storage)
 	result, err := file.Run(context.Background(), experiment.RunOptions{Seed: 3, Placement: experiment.PlacementProxies, ProxyBinary: proxyBinary, AgentBinary: agentBinary, Dir: dir, Logf: t.Logf})
 	require.NoError(t, err)
 	if record, err := os.ReadFile(filepath.Join(dir, "agents.txt")); err == nil {
