--- a/lab/sysfault/sysfault.go
+++ b/lab/sysfault/sysfault.go
@@ -32,12 +32,12 @@
 	Duplicate CallGroup = "copy"    // fcntl, with which descriptors are duplicated; its other commands fail, too
 )
 
-// callNumbers lists the system calls of each group, on amd64.
+// callNumbers lists the system calls of each group.
 var callNumbers = map[CallGroup][]uint32{
 	Accept:    {unix.SYS_ACCEPT4, unix.SYS_ACCEPT},
 	Socket:    {unix.SYS_SOCKET},
 	Connect:   {unix.SYS_CONNECT},
-	Wait:      {unix.SYS_EPOLL_WAIT, unix.SYS_EPOLL_PWAIT, unix.SYS_NANOSLEEP},
+	Wait:      waitCalls,
 	Read:      {unix.SYS_READ},
 	Write:     {unix.SYS_WRITE, unix.SYS_WRITEV},
 	Open:      {unix.SYS_OPENAT},
