--- a/review/second/drain.go
+++ b/review/second/drain.go
@@ -41,7 +41,7 @@
 	return unreached
 }
 
-// crowded: the proxy's watch has just been answered when discovery gets too many callers for 12 s, and two of eight servers begin to drain.
+// crowded: the proxy's watch has just been answered when discovery gets too many callers for 10 s, and three of eight servers begin to drain.
 func crowded(e *env) (bool, error) {
 	servers, d, err := e.fleet(8)
 	if err != nil {
@@ -60,7 +60,7 @@
 	time.Sleep(4 * time.Second)
 	// An ordinary change ends the watch, and the next one begins.
 	if e.trouble {
-		d.crowd(12 * time.Second)
+		d.crowd(10 * time.Second)
 	}
 	d.update(func(t *target) bool {
 		if t.UID == "s-8" {
@@ -70,11 +70,11 @@
 	})
 	time.Sleep(300 * time.Millisecond)
 	drained := time.Now()
-	for _, s := range servers[:2] {
+	for _, s := range servers[:3] {
 		s.draining.Store(true)
 	}
 	d.update(func(t *target) bool {
-		if t.UID == "s-1" || t.UID == "s-2" {
+		if t.UID <= "s-3" {
 			t.State = "draining"
 			return true
 		}
@@ -91,7 +91,7 @@
 	case load.up.Load() < 100:
 		return false, errors.New("too few clients were served")
 	}
-	return judgeDrain(e, servers[:2], drained), nil
+	return judgeDrain(e, servers[:3], drained), nil
 }
 
 // herd: the proxy is killed and started again while discovery has too many callers, and two of eight servers begin to drain.
