--- a/review/second/agents.go
+++ b/review/second/agents.go
@@ -122,10 +122,10 @@
 func (e *env) manage(perSecond float64, life time.Duration) (m *managed, err error) {
 	m = &managed{api: freeAddress(), data: filepath.Join(e.dir, "data"), address: freeAddress(), config: filepath.Join(e.dir, "agent.toml")}
 	var d *discovery
-	if m.servers, d, err = e.fleet(8); err != nil {
+	if m.servers, d, err = e.fleet(qldBookings, 8); err != nil {
 		return nil, err
 	}
-	file, err := writeConfig(proxyOptions{name: "n1", listen: m.address, discovery: d.address, known: d.known(), dir: e.dir, settings: settings([]map[string]any{product("slot-watch", "repeatable")})})
+	file, err := writeConfig(proxyOptions{name: "n1", listen: m.address, discovery: d.address, known: d.known(), dir: e.dir, site: qldBookings})
 	if err != nil {
 		return nil, err
 	}
@@ -221,7 +221,7 @@
 		e.rec.log("the way between agent and instance is silent from now on")
 	}
 	time.Sleep(time.Second)
-	told := m.drain(e, "s-1", "3s")
+	told := m.drain(e, "s-01", "3s")
 	time.Sleep(500 * time.Millisecond)
 	if e.trouble {
 		if err := m.restartAgent(e); err != nil {
@@ -251,7 +251,7 @@
 		m.way.silent.Store(true)
 		e.rec.log("the way between agent and instance is silent from now on")
 	}
-	told := m.drain(e, "s-1", "8s")
+	told := m.drain(e, "s-01", "8s")
 	time.Sleep(time.Second)
 	if e.trouble {
 		if err := m.restartAgent(e); err != nil {
@@ -261,7 +261,7 @@
 	r := <-told
 	serves := m.serves()
 	time.Sleep(5 * time.Second)
-	late := m.servers[0].after(r.at.Add(drainGrace))
+	late := m.servers[0].after(r.at.Add(qldBookings.drainGrace + slack))
 	m.load.finish()
 	e.rec.log("clients: %v", m.load)
 	e.rec.log("judge: hatchctl ended with %d, the instance serves: %t, and sent s-1 %d new connections later than 2 s after the report", r.code, serves, len(late))
--- a/review/second/discovery.go
+++ b/review/second/discovery.go
@@ -24,6 +24,7 @@
 // discovery is a stand-in of the discovery service.
 type discovery struct {
 	rec     *record
+	timeout time.Duration // how long a call waits before the service gives it up
 	name    string
 	server  *http.Server
 	address string
@@ -35,20 +36,18 @@
 	changed     chan struct{}  // closed at the next change
 	crowdedTill time.Time      // calls that come before then wait too long and end with 503
 	rejectTill  time.Time      // calls that come before then end with 503 at once
+	ended       chan struct{}  // closed when the open watches end
 }
 
-// queueTimeout is how long a call waits before the service gives it up (timeout_ms of the site file).
-const queueTimeout = 3 * time.Second
-
 // observer is the header of the call of another caller, which the crowd does not keep out.
 const observer = "X-Observer"
 
-func newDiscovery(rec *record, name string, targets []target) (*discovery, error) {
+func newDiscovery(rec *record, name string, targets []target, timeout time.Duration) (*discovery, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{rec: rec, name: name, rev: 1, targets: targets, revs: map[string]int{}, changed: make(chan struct{}), address: listener.Addr().String()}
+	d := &discovery{rec: rec, timeout: timeout, name: name, rev: 1, targets: targets, revs: map[string]int{}, changed: make(chan struct{}), ended: make(chan struct{}), address: listener.Addr().String()}
 	d.server = &http.Server{Handler: http.HandlerFunc(d.serve)}
 	go func() { _ = d.server.Serve(listener) }()
 	return d, nil
@@ -93,6 +92,14 @@
 	d.rec.log("%s: calls are turned away from now on, for %v", d.name, span)
 }
 
+// endWatches ends the open watches with 503.
+func (d *discovery) endWatches() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.ended)
+	d.ended = make(chan struct{})
+}
+
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
 	call := r.URL.RawQuery
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
@@ -105,7 +112,7 @@
 		d.rec.log("%s: call %q comes", d.name, call)
 		if crowded {
 			select {
-			case <-time.After(queueTimeout):
+			case <-time.After(d.timeout):
 			case <-r.Context().Done():
 				d.rec.log("%s: call %q was given up by its caller", d.name, call)
 				return
@@ -123,9 +130,13 @@
 		if full || d.rev > from {
 			break
 		}
-		changed := d.changed
+		changed, ended := d.changed, d.ended
 		d.mu.Unlock()
 		select {
+		case <-ended:
+			d.rec.log("%s: watch %q ends with 503", d.name, call)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		case <-changed:
 			continue
 		case <-r.Context().Done():
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -47,18 +47,18 @@
 	return p, err
 }
 
-// fleet starts servers and a discovery service that lists them.
-func (e *env) fleet(n int) ([]*server, *discovery, error) {
+// fleet starts servers, spread over the zones, and a discovery service that lists them.
+func (e *env) fleet(at site, n int) ([]*server, *discovery, error) {
 	var servers []*server
 	var targets []target
 	for i := range n {
-		s, err := newServer(e.rec, fmt.Sprintf("s-%d", i+1), fmt.Sprintf("127.0.1.%d", i+1))
+		s, err := newServer(e.rec, fmt.Sprintf("s-%02d", i+1), fmt.Sprintf("127.0.1.%d", i+1))
 		if err != nil {
 			return nil, nil, err
 		}
-		servers, targets = append(servers, s), append(targets, s.target("brisbane-north"))
+		servers, targets = append(servers, s), append(targets, s.target(at.zones[i%len(at.zones)]))
 	}
-	d, err := newDiscovery(e.rec, "discovery", targets)
+	d, err := newDiscovery(e.rec, "discovery", targets, at.callTimeout)
 	return servers, d, err
 }
 
--- a/review/second/proxy.go
+++ b/review/second/proxy.go
@@ -15,28 +15,54 @@
 	"time"
 )
 
-// settings returns settings like those of the small deployment.
-func settings(products []map[string]any) map[string]any {
-	aims := make([]float64, len(products))
+// site is a deployment: its settings, as far as the cases need them, come from its site file.
+type site struct {
+	zones        []string
+	group        int // proxies
+	attempts     int
+	drainGrace   time.Duration
+	fallMultiple float64
+	fallMS       float64
+	coldFrom     float64
+	coldMS       float64
+	crossPrice   float64
+	movePrice    float64
+	messageMS    float64
+	weights      string
+	callTimeout  time.Duration // how long a call to discovery may wait
+	products     []map[string]any
+}
+
+var (
+	qldBookings = site{zones: []string{"brisbane-north", "townsville"}, group: 2, attempts: 6, drainGrace: 2 * time.Second, fallMultiple: 4, fallMS: 3000, coldFrom: 0.3, coldMS: 9000,
+		crossPrice: 0.2, movePrice: 0.013, messageMS: 150, weights: "rough", callTimeout: 3 * time.Second, products: []map[string]any{product("slot-watch", 300, 1800)}}
+	buurtstroomOost = site{zones: []string{"zwolle", "deventer", "apeldoorn", "kampen", "hengelo"}, group: 5, attempts: 5, drainGrace: 300 * time.Millisecond, fallMultiple: 3, fallMS: 2000,
+		coldFrom: 0.13, coldMS: 24000, crossPrice: 0.03, movePrice: 0.015, messageMS: 250, weights: "nominal", callTimeout: time.Second,
+		products: []map[string]any{product("opwek-live", 500, 2000), product("saldo-live", 300, 1800)}}
+)
+
+// product returns a class of the settings.
+func product(name string, quotedMS, limitMS float64) map[string]any {
+	return map[string]any{"name": name, "idempotency": "repeatable", "gain": 1.0, "quoted-time-ms": quotedMS, "hard-limit-ms": limitMS, "window-ms": 5000.0, "group": "all", "streaming": true, "tardy-gain": 0.0}
+}
+
+// settings returns the settings that a proxy of the site gets.
+func (s site) settings() map[string]any {
+	aims := make([]float64, len(s.products))
 	for i := range aims {
-		aims[i] = 150
+		aims[i] = s.messageMS
 	}
 	return map[string]any{
-		"my-number": 0, "group-size": 2, "zone": 0, "localities": []string{"brisbane-north"}, "models": []string{"fast-3", "slow-3"},
-		"weight-kind": "rough", "membership-mode": "subscribe", "kind-of-service": "conn", "gain-by": "request", "products": products,
+		"my-number": 0, "group-size": s.group, "zone": 0, "localities": s.zones, "models": []string{"fast", "slow"},
+		"weight-kind": s.weights, "membership-mode": "subscribe", "kind-of-service": "conn", "gain-by": "request", "products": s.products,
 		"family-info": map[string]any{"mode": "proxy", "message-aim-ms": aims, "groups": true, "tells-load": true},
-		"limits":      map[string]any{"max-dispatches": 6, "dial-timeout-ms": 250.0, "probes": false, "retry-after": false, "may-cancel": true, "max-retry-after-ms": 1000.0},
-		"invariants": map[string]any{"ask-within-ms": 10000.0, "start-capacity": 0.3, "cold-ms": 9000.0, "fall-multiple": 4.0, "fall-ms": 3000.0,
-			"stop-sending-within-ms": 2000.0, "answer-slack-ms": 8.0},
-		"prices": map[string]any{"cross-zone": 0.2, "moves": 0.013},
+		"limits":      map[string]any{"max-dispatches": s.attempts, "dial-timeout-ms": 250.0, "probes": false, "retry-after": false, "may-cancel": true, "max-retry-after-ms": 1000.0},
+		"invariants": map[string]any{"ask-within-ms": 10000.0, "start-capacity": s.coldFrom, "cold-ms": s.coldMS, "fall-multiple": s.fallMultiple, "fall-ms": s.fallMS,
+			"stop-sending-within-ms": float64(s.drainGrace.Milliseconds()), "answer-slack-ms": 8.0},
+		"prices": map[string]any{"cross-zone": s.crossPrice, "moves": s.movePrice},
 	}
 }
 
-// product returns a class of the settings.
-func product(name, idempotency string) map[string]any {
-	return map[string]any{"name": name, "idempotency": idempotency, "gain": 1.0, "quoted-time-ms": 300.0, "hard-limit-ms": 1800.0, "window-ms": 5000.0, "group": "all", "streaming": true, "tardy-gain": 0.0}
-}
-
 // proxy is a process that `run` of the deploy file started.
 type proxy struct {
 	rec    *record
@@ -52,7 +78,7 @@
 type proxyOptions struct {
 	name, listen, admin, discovery string
 	known                          json.RawMessage
-	settings                       map[string]any
+	site                           site
 	dir, tmp                       string
 	listener                       *os.File // the clients' listening socket, if the platform holds it
 }
@@ -76,7 +102,7 @@
 // writeConfig writes the file that ROUTER_CONFIG names.
 func writeConfig(o proxyOptions) (string, error) {
 	config := map[string]any{"name": o.name, "listen": o.listen, "discovery": o.discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": o.settings}
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": o.site.settings()}
 	if o.known != nil {
 		config["known"] = o.known
 	}
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -12,11 +12,10 @@
 
 // arrival is a request line that has come to a server whole.
 type arrival struct {
-	at        time.Time
-	server    string
-	id        string
-	answer    string
-	predecess bool
+	at     time.Time
+	server string
+	id     string
+	answer string
 }
 
 // server is a stand-in of a server: it answers UP at once and each line with a line. While it drains it answers BUSY.
@@ -25,7 +24,6 @@
 	uid      string
 	listener net.Listener
 	draining atomic.Bool
-	delay    atomic.Int64 // before the answer to a request, in nanoseconds
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -51,7 +49,7 @@
 }
 
 func (s *server) target(zone string) target {
-	return target{UID: s.uid, Endpoint: s.listener.Addr().String(), AZ: zone, Model: "fast-3", PodGroup: 1, State: "ready", CapacityHint: 1}
+	return target{UID: s.uid, Endpoint: s.listener.Addr().String(), AZ: zone, Model: "fast", PodGroup: 1, State: "ready", CapacityHint: 1}
 }
 
 func (s *server) serve(conn net.Conn) {
@@ -71,7 +69,6 @@
 			answer = "PONG"
 		case strings.HasPrefix(line, "OPEN ") && len(strings.Split(line, " ")) == 4:
 			now := time.Now()
-			time.Sleep(time.Duration(s.delay.Load()))
 			s.mu.Lock()
 			s.receipts++
 			answer = "UP " + s.uid + "-" + strconv.Itoa(s.receipts)
--- a/review/second/upgrade.go
+++ b/review/second/upgrade.go
@@ -52,7 +52,7 @@
 
 // upgradeDrain: a second process has said yes beside the first, and an operator drains the proxy before the first gets SIGTERM.
 func upgradeDrain(e *env) (bool, error) {
-	_, d, err := e.fleet(8)
+	_, d, err := e.fleet(qldBookings, 8)
 	if err != nil {
 		return false, err
 	}
@@ -61,7 +61,7 @@
 		return false, err
 	}
 	options := proxyOptions{name: "n1", listen: address, admin: freeAddress(), discovery: d.address, known: d.known(), listener: file,
-		tmp: filepath.Join(e.dir, "tmp"), settings: settings([]map[string]any{product("slot-watch", "repeatable")})}
+		tmp: filepath.Join(e.dir, "tmp"), site: qldBookings}
 	old, err := e.start(options)
 	if err != nil {
 		return false, err
@@ -121,9 +121,9 @@
 	return answer == "PONG" || held > 0, nil
 }
 
-// upgradeList: the first process was told that two servers drain; a second one takes its place while discovery turns calls away.
+// upgradeList: the first process was told that three of 15 servers drain; a second one takes its place while discovery turns calls away.
 func upgradeList(e *env) (bool, error) {
-	servers, d, err := e.fleet(8)
+	servers, d, err := e.fleet(buurtstroomOost, 15)
 	if err != nil {
 		return false, err
 	}
@@ -132,7 +132,7 @@
 		return false, err
 	}
 	options := proxyOptions{name: "n1", listen: address, admin: freeAddress(), discovery: d.address, known: d.known(), listener: file,
-		tmp: filepath.Join(e.dir, "tmp"), settings: settings([]map[string]any{product("slot-watch", "repeatable")})}
+		tmp: filepath.Join(e.dir, "tmp"), site: buurtstroomOost}
 	old, err := e.start(options)
 	if err != nil {
 		return false, err
@@ -140,22 +140,13 @@
 	if err := errors.Join(e.awaitYes(options.admin, 10*time.Second), awaitReady(address, 5*time.Second)); err != nil {
 		return false, err
 	}
-	load := newClients(e.rec, "slot-watch", 1800*time.Millisecond, 3*time.Second, 1, func() []string { return []string{address} })
+	load := newClients(e.rec, "opwek-live", 2*time.Second, 3*time.Second, 1, func() []string { return []string{address} })
 	load.run(40)
 	time.Sleep(3 * time.Second)
-	for _, s := range servers[:2] {
-		s.draining.Store(true)
-	}
-	d.update(func(t *target) bool {
-		if t.UID == "s-1" || t.UID == "s-2" {
-			t.State = "draining"
-			return true
-		}
-		return false
-	})
+	drain(servers[:3], d)
 	time.Sleep(3 * time.Second) // the running process was told, and keeps to it
 	if e.trouble {
-		d.reject(8 * time.Second)
+		d.reject(allCall)
 	}
 	options.admin = freeAddress()
 	fresh, err := e.start(options)
@@ -179,10 +170,10 @@
 	case load.up.Load() < 100:
 		return false, errors.New("too few clients were served")
 	}
-	limit := yes.Add(2*time.Second + drainGrace)
+	limit := yes.Add(2*time.Second + buurtstroomOost.drainGrace + slack)
 	broken := false
 	e.rec.log("judge: what discovery has counts as told at %.3f, nothing new may come after %.3f", e.rec.since(yes.Add(2*time.Second)), e.rec.since(limit))
-	for _, s := range servers[:2] {
+	for _, s := range servers[:3] {
 		for _, a := range s.after(limit) {
 			e.rec.log("judge: BROKEN: %s got request %s at %.3f", a.server, a.id, e.rec.since(a.at))
 			broken = true
