--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of deploy/balancer.toml and review/build-2.sh first" >&2
   exit 2
 fi
-exec review/second/bin/second agent-kill review/7 "$PWD"
+exec review/second/bin/second herd review/7 "$PWD"
