--- a/review/second/main.go
+++ b/review/second/main.go
@@ -1,4 +1,4 @@
-// Command second plays the cases of the second review: second CASE FOLDER ROOT. It is started by the run.sh of a case.
+// Command second plays the cases of the second review: second CASE RECORD ROOT. It is started by the run.sh of a case.
 // Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 package main
 
@@ -66,15 +66,15 @@
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "second CASE FOLDER ROOT")
+		fmt.Fprintln(os.Stderr, "second CASE RECORD ROOT")
 		os.Exit(2)
 	}
 	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
 }
 
-func play(name, folder, repository string) int {
+func play(name, recordPath, repository string) int {
 	root = repository
-	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+	rec, err := newRecord(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
