Orders to evacuate or rejoin reach both processes of a replacement, whichever is called

Cause: orders went from the predecessor to the successor only. Ruled out: the moves, which come in time without a second process. Change: each process passes an order on to both sides, numbered over the chain; an older one has no effect, of two with one number the successor's counts. The last order is told to a process when it connects. Measured: TestOrdersAtTheSuccessorBindThePredecessor red before (9.5 s, no MOVE), green after; the tests on orders and handovers of internal/proxy pass.

--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -22,13 +22,6 @@
 // Metrics returns the last published snapshot, or nil before the first one. It may be called from any goroutine.
 func (p *Proxy) Metrics() *telemetry.Snapshot { return p.metrics.Load() }
 
-// Evacuate makes the proxy move all of its clients to other proxies while it keeps running. It returns once the event
-// loop has begun, or with an error if ctx ends or the proxy stops first.
-func (p *Proxy) Evacuate(ctx context.Context) error { return p.runOnLoop(ctx, p.evacuate) }
-
-// Rejoin ends an evacuation: the proxy serves again. Its errors are those of Evacuate.
-func (p *Proxy) Rejoin(ctx context.Context) error { return p.runOnLoop(ctx, p.rejoin) }
-
 // runOnLoop runs an action on the event loop and waits for it.
 func (p *Proxy) runOnLoop(ctx context.Context, action func()) error {
 	_, err := callOnLoop(ctx, p, func() bool {
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -27,6 +27,7 @@
 	successorReady    bool                 // the successor accepts clients and can be handed connections
 	successorConfirms bool                 // the successor confirms the connections that it is sent
 	transfers         transfers            // connections that were sent to the successor and are not confirmed
+	lastOrder         modeOrder            // to evacuate or to rejoin, whichever process was given it
 }
 
 // InheritListener makes the proxy accept on an inherited listening TCP socket and, when it leaves, hand its clients over to
@@ -112,7 +113,7 @@
 	}
 }
 
-// packet is the JSON message between predecessor and successor; each carries one field, and Number or Confirms with it. The
+// packet is the JSON message between predecessor and successor; each carries one field, and what is said to come with it. The
 // processes may be of different versions, so the JSON names must not change.
 type packet struct {
 	Ready             bool               `json:",omitempty"`        // from the successor: it accepts clients
@@ -123,9 +124,10 @@
 	Established       *establishedConn   `json:"Stands,omitempty"`  // comes with the client's socket and the server's
 	IncompleteRequest *incompleteRequest `json:"Unasked,omitempty"` // comes with the client's socket
 
-	Memory     *logic.Snapshot `json:",omitempty"` // the balancer's state, with a part of its servers
-	Evacuating bool            `json:",omitempty"` // the predecessor evacuates: it moves its clients away
-	Rejoined   bool            `json:",omitempty"` // the evacuation has ended
+	Memory      *logic.Snapshot `json:",omitempty"` // the balancer's state, with a part of its servers
+	Evacuating  bool            `json:",omitempty"` // the sender was ordered to evacuate: to move its clients away
+	Rejoined    bool            `json:",omitempty"` // the sender was ordered to rejoin, which ends an evacuation
+	OrderNumber uint64          `json:",omitempty"` // with Evacuating or Rejoined: the order's number, from 1 on
 }
 
 // maxServersPerPacket is how many servers a packet describes at most, with some 300 bytes each.
@@ -174,6 +176,7 @@
 	}
 	h.successor, h.successorReady = c, false
 	p.log.Info("a successor process connected")
+	p.sendLastOrder(c)
 	go func() {
 		for {
 			text, files, err := c.Receive()
@@ -204,13 +207,15 @@
 		p.successorReady(c)
 	case message.Confirmed != 0:
 		p.transferConfirmed(message.Confirmed)
+	case message.Evacuating || message.Rejoined:
+		p.orderReceived(message, c)
 	case message.Refused != 0:
 		p.log.Warn("the successor process did not get a connection's descriptors; taking it back", "number", message.Refused)
 		p.takeBack(message.Refused)
 	}
 }
 
-// successorReady leaves new clients to the successor, and sends it the balancer's state and the current mode. If both
+// successorReady leaves new clients to the successor, and sends it the balancer's state. If both
 // processes placed requests at once, each would use the whole budget for cold servers.
 func (p *Proxy) successorReady(c *succession.Conn) {
 	if h := p.handover; h.successor == c {
@@ -224,10 +229,7 @@
 				break
 			}
 		}
-		switch p.mode {
-		case evacuating:
-			p.notifySuccessor(packet{Evacuating: true})
-		case leaving:
+		if p.mode == leaving {
 			// The signal to leave may arrive before the successor is ready; the clients are still handed over instead of moved.
 			_, moveSpan := p.leaveSpans()
 			p.handOverAll(p.modeGeneration, moveSpan)
@@ -235,14 +237,6 @@
 	}
 }
 
-// notifySuccessor passes an evacuation or its end on to a successor: the two processes are one proxy, and until SIGTERM
-// operators may call either of them.
-func (p *Proxy) notifySuccessor(message packet) {
-	if p.hasSuccessor() {
-		p.sendPacket(p.handover.successor, message)
-	}
-}
-
 // successorGone makes this process serve on, or leave as if there had been no successor.
 func (p *Proxy) successorGone(c *succession.Conn) {
 	c.Close()
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -350,3 +350,49 @@
 	}
 	return err == nil
 }
+
+// Guards against clients that the predecessor holds on to because an operator called the successor: orders went from the
+// predecessor to the successor only.
+func TestOrdersAtTheSuccessorBindThePredecessor(t *testing.T) {
+	h := newHandoverEnv(t)
+	first := h.startProcess()
+	kept := first.openRequest("c=chat,d=1500")
+	kept.expectLine("UP a")
+	second := h.startProcess()
+	require.NoError(t, second.proxy.Evacuate(context.Background()))
+	kept.expectLine("MOVE")
+	kept.expectEnd(false)
+	first.waitForClients(0)
+	third := h.startProcess()
+	third.waitForPingAnswer("ERR not ready")
+	require.NoError(t, first.proxy.Rejoin(context.Background()), "it passes the order on through the second")
+	third.waitForPingAnswer("PONG")
+	require.NoError(t, third.proxy.Evacuate(context.Background()))
+	third.waitForPingAnswer("ERR not ready")
+	require.NoError(t, third.proxy.Rejoin(context.Background()))
+	third.waitForPingAnswer("PONG")
+	third.openRequest("c=chat,d=1500").expectLine("UP a")
+}
+
+// Guards against two orders that are given to both processes at the same moment and are passed back and forth for ever, or
+// leave the processes in different modes.
+func TestOrdersGivenToBothProcessesAtOnceEndInOneMode(t *testing.T) {
+	h := newHandoverEnv(t)
+	first := h.startProcess()
+	second := h.startProcess()
+	for range 20 {
+		done := make(chan error, 2)
+		go func() { done <- first.proxy.Evacuate(context.Background()) }()
+		go func() { done <- second.proxy.Rejoin(context.Background()) }()
+		require.NoError(t, <-done)
+		require.NoError(t, <-done)
+	}
+	require.NoError(t, first.proxy.Rejoin(context.Background()))
+	second.waitForPingAnswer("PONG")
+	c := second.openRequest("c=chat,d=1500")
+	c.expectLine("UP a")
+	time.Sleep(200 * time.Millisecond)
+	second.expectPingAnswer("PONG")
+	c.send("M 1\r\n")
+	c.expectLine("M 1")
+}
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -30,14 +30,6 @@
 	moveSpanShare = 0.5
 	// minMoveSpan applies where the hard limits are very short.
 	minMoveSpan = 300 * millisecond
-	// An evacuating proxy must have moved all its clients within 4 s. Established connections are moved within the
-	// first second: a longer span lowers the gain, and a shorter one does not raise it. Requests that are still pending
-	// are expired in time for their clients to be moved. The times are counted from the start of the evacuation; new
-	// requests are refused from evacuationMovesEnd on.
-	evacuationDelay    = 250 * millisecond
-	evacuationMovesEnd = 1000 * millisecond
-	evacuationExpireAt = 3400 * millisecond
-	evacuationEnd      = 3800 * millisecond // a client whose server is still within a line is cut off then
 )
 
 // setMode changes the mode and returns its generation. Actions begun under the previous mode stop.
@@ -92,38 +84,6 @@
 	}
 }
 
-// evacuate moves all clients to other proxies while this one goes on running. Late arrivals are accepted, since the
-// load balancer in front notices only a moment later, and are moved like the others.
-func (p *Proxy) evacuate() {
-	if p.mode != serving {
-		return
-	}
-	generation, now := p.setMode(evacuating), p.now()
-	p.notifySuccessor(packet{Evacuating: true})
-	p.log.Info("evacuating", "attachments", len(p.clients))
-	p.scheduleAfter(evacuationDelay, func() { p.moveClients(generation, now+evacuationMovesEnd) })
-	p.scheduleAfter(evacuationMovesEnd, func() { p.refuseRequests = p.refuseRequests || p.modeGeneration == generation })
-	p.scheduleAfter(evacuationExpireAt, func() {
-		if p.modeGeneration == generation {
-			p.expirePending()
-		}
-	})
-	p.scheduleAfter(evacuationEnd, func() {
-		if p.modeGeneration == generation {
-			p.finishPendingMoves()
-		}
-	})
-}
-
-// rejoin makes an evacuating proxy serve again. What it has learnt about the servers is kept.
-func (p *Proxy) rejoin() {
-	if p.mode == evacuating {
-		p.setMode(serving)
-		p.notifySuccessor(packet{Rejoined: true})
-		p.log.Info("serving again after evacuation", "attachments", len(p.clients))
-	}
-}
-
 // moveClients moves established connections one after the other, evenly until the given time, and after that each one
 // as soon as it is established. It stops when the mode changes.
 func (p *Proxy) moveClients(generation int, until logic.Micros) {
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -110,10 +110,8 @@
 		return
 	case message.Memory != nil:
 		p.instance.Restore(*message.Memory)
-	case message.Evacuating:
-		p.evacuate()
-	case message.Rejoined:
-		p.rejoin()
+	case message.Evacuating || message.Rejoined:
+		p.orderReceived(message, p.handover.predecessor)
 	}
 	closeFiles(files)
 	release()
