A watch that is turned away no longer excuses an old list for its hold time

Cause: the time for a watch that falls silent, up to 12 s, stayed in force when the watch was answered with 503 after 1 s. Ruled out: calls that the proxy gives up itself. Change: discovery tells what a failed call shows (silent, refused, ended, rejected), from both calls of a hedged pair; internal/proxy/freshness.go keeps the list 6 s from the last change that was surely received. The same for an agent's 503 and for a refusal after a 503.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -144,8 +144,8 @@
 const NoVersion = -1
 
 // Follow asks for the changes after a version, first with a poll and then with one watch after another. It calls received
-// with each answer, together with the hold time of the watch that follows. It returns the error of the first call that
-// fails, as they all do when ctx ends.
+// with each answer, together with the hold time of the watch that follows. It returns an *Error with the errors of the first call
+// that fails and of the one beside it, if any; all fail when ctx ends.
 func (c *Client) Follow(ctx context.Context, version int64, received func(version int64, hold time.Duration, visit func(ListVisitor))) error {
 	hold := immediateHold
 	for {
@@ -167,16 +167,19 @@
 type answer struct {
 	version int64
 	visit   func(ListVisitor)
+	watch   bool // it is the result of a watch
 	err     error
 }
 
-// hedgedCall makes a call, and a second one beside it when the answer is overdue; the first answer without an error counts.
+// hedgedCall makes a call, and a second one beside it when the answer is overdue; the first answer without an error counts. If
+// all fail, the error is an *Error.
 // Guards against a stalled watch, which looks the same as a watch without changes until its hold time is over.
 func (c *Client) hedgedCall(ctx context.Context, version int64, hold time.Duration) answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, maxConcurrentCalls)
 	pending := 0
+	failure, startTime := &Error{}, time.Now()
 	start := func(hold, timeout time.Duration) {
 		pending++
 		go func() { answers <- c.callForAnswer(ctx, version, hold, timeout) }()
@@ -193,9 +196,13 @@
 	for {
 		select {
 		case result := <-answers:
-			if pending--; result.err == nil || pending == 0 {
+			if pending--; result.err == nil {
 				return result
 			}
+			failure.add(result, time.Since(startTime))
+			if pending == 0 {
+				return answer{err: failure}
+			}
 		case <-timer.C:
 			if pending < maxConcurrentCalls {
 				start(immediateHold, pollTimeout)
@@ -208,7 +215,7 @@
 // callForAnswer makes a single call and returns its results as an answer.
 func (c *Client) callForAnswer(ctx context.Context, version int64, hold, timeout time.Duration) answer {
 	version, visit, err := c.call(ctx, version, hold, timeout)
-	return answer{version, visit, err}
+	return answer{version, visit, hold != immediateHold, err}
 }
 
 // call makes a single call and decodes the answer; it ends after timeout.
@@ -233,10 +240,14 @@
 		return 0, nil, err
 	}
 	if len(text) > maxAnswerBytes {
-		return 0, nil, errAnswerTooLarge
+		return 0, nil, fmt.Errorf("%w: %w", errInvalidAnswer, errAnswerTooLarge)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return 0, nil, fmt.Errorf("the service answers %s", resp.Status)
+		return 0, nil, fmt.Errorf("%w: status %s", errInvalidAnswer, resp.Status)
+	}
+	version, visit, err := Decode(text)
+	if err != nil {
+		err = fmt.Errorf("%w: %w", errInvalidAnswer, err)
 	}
-	return Decode(text)
+	return version, visit, err
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -76,6 +76,7 @@
 	listReceivedAt    logic.Micros // when the server list last arrived; 0 if never
 	listVersion       int64
 	listFreshness     listFreshness
+	listOutdated      bool // as the balancer was last told
 	watching          bool // a watch is under way: a call is open, or the next one is about to be made
 	cancelWatch       context.CancelFunc
 	watchNumber       int                                                          // identifies the current watch; answers of earlier ones are ignored
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -82,6 +82,11 @@
 // startProxyWithConfig is startProxyWith with a configuration other than baseConfig. The proxy has the list when it
 // returns.
 func startProxyWithConfig(t *testing.T, config string, sockets int64, configure func(*proxy.Proxy), answers ...string) (*harness, []*fleet.ScriptedServer) {
+	return startProxyWithHold(t, time.Second, config, sockets, configure, answers...)
+}
+
+// startProxyWithHold is startProxyWithConfig with the longest hold time of the watches on the list.
+func startProxyWithHold(t *testing.T, maxHold time.Duration, config string, sockets int64, configure func(*proxy.Proxy), answers ...string) (*harness, []*fleet.ScriptedServer) {
 	t.Parallel()
 	list, err := fleet.StartManualDiscovery()
 	require.NoError(t, err)
@@ -108,7 +113,9 @@
 		}
 	})
 	log := slog.New(slog.NewTextHandler(logged, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	p := proxy.New(testOptions(log, b, s.listenAddr, list, sockets))
+	options := testOptions(log, b, s.listenAddr, list, sockets)
+	options.Discovery = discovery.NewClient(list.Address(), maxHold)
+	p := proxy.New(options)
 	s.proxy = p
 	p.Initialize(proxy.Info{Name: "n0", LogLevel: new(slog.LevelVar)}, nil)
 	configure(p)
--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"hatchproxy/internal/discovery"
@@ -11,14 +10,6 @@
 )
 
 const (
-	// A change of the list counts as delivered from the moment from which the protocol holds the proxy to it, whether or
-	// not it has arrived: silenceDeliveryLimit after the service's last answer or waitDeliveryLimit after the end of the
-	// long poll that is open then, whichever is later.
-	silenceDeliveryLimit = 6 * second
-	waitDeliveryLimit    = 2 * second
-	// newServiceDeliveryLimit is how long after a new configuration the list of the discovery service that it names counts
-	// as delivered; the protocol defines this, too.
-	newServiceDeliveryLimit = 4 * second
 	// agentRetryDelay is the wait before the next call to an agent after a failed one. It is short: an agent's changes
 	// count as delivered as soon as it can be reached, and calls to the proxy's own agent are cheap.
 	agentRetryDelay = 100 * millisecond
@@ -27,16 +18,6 @@
 	cachedListDelay = 4 * second
 )
 
-// listFreshness says how long the server list may be relied on. The protocol counts changes as delivered after fixed
-// times, whether or not they have arrived; from then on, plus the drain grace, the list is outdated.
-type listFreshness struct {
-	drainGrace      logic.Micros // how long new requests may go to a server after its drain counts as delivered
-	maxPollInterval logic.Micros // the longest time allowed between two requests for the list; 0 if none is set
-	pushedByAgent   bool         // the list comes from an agent, whose changes count as delivered at once
-	freshUntil      logic.Micros // a change made from now on counts as delivered then at the earliest
-	unanswered      bool         // the service has not answered since the start or since a configuration named it
-}
-
 // SetListLimits sets how old the server list may be when requests are sent by it: how long new requests may go to a
 // draining server, the longest time between two requests for the list (0 for no limit on its age), and whether an agent
 // pushes it, whose changes count as delivered at once. It must be called before Run or on the event loop.
@@ -44,47 +25,28 @@
 	p.listFreshness.drainGrace, p.listFreshness.maxPollInterval, p.listFreshness.pushedByAgent = drainGrace, maxPollInterval, pushedByAgent
 }
 
-// extendFreshness sets the time from which on changes count as delivered, and schedules the list to become outdated the
-// drain grace after it. After a further maxPollInterval the proxy uses the list again although it is outdated: a fleet
-// that serves nobody is worse than one that serves by an old list. That does not hold for the list that a new agent has
-// never confirmed.
-func (p *Proxy) extendFreshness(until logic.Micros) {
-	p.listFreshness.freshUntil = until
-	p.instance.SetListOutdated(false)
-	if p.listFreshness.maxPollInterval == 0 {
-		return
-	}
-	end := until + p.listFreshness.drainGrace
-	p.scheduleAt(end, func() {
-		if p.listFreshness.freshUntil == until && p.ctx.Err() == nil {
-			p.log.Warn("the server list is outdated; not sending requests by it", "silent_us", int64(p.now()-p.listReceivedAt))
-			p.instance.SetListOutdated(true)
-		}
-	})
-	p.scheduleAt(end+p.listFreshness.maxPollInterval, func() {
-		if p.listFreshness.freshUntil == until && !p.waitsForAgent() && p.ctx.Err() == nil {
-			p.log.Warn("the server list is still outdated; using it all the same")
-			p.instance.SetListOutdated(false)
-		}
-	})
+// reviewFreshness tells the balancer whether the list is outdated, now and when that may change without an answer.
+func (p *Proxy) reviewFreshness() {
+	p.updateOutdated()
+	p.scheduleAt(p.listFreshness.outdatedFrom(), p.updateOutdated)
+	p.scheduleAt(p.listFreshness.usedAgainFrom(), p.updateOutdated)
 }
 
-// beginFreshness sets how long a new process may rely on the list of an earlier run. What an agent has counts as delivered from
-// the first moment of a process: nothing is sent by the earlier list then.
-func (p *Proxy) beginFreshness() {
-	p.listFreshness.unanswered = true
-	if !p.listFreshness.pushedByAgent {
-		p.extendFreshness(p.now() + silenceDeliveryLimit)
+// updateOutdated tells the balancer whether the list is outdated, if that has changed.
+func (p *Proxy) updateOutdated() {
+	f, now := &p.listFreshness, p.now()
+	outdated := f.isOutdated(now)
+	if outdated == p.listOutdated || p.ctx.Err() != nil {
 		return
 	}
-	p.listFreshness.freshUntil = p.now()
-	p.instance.SetListOutdated(true)
-}
-
-// waitsForAgent reports whether an agent pushes the list and has not told anything since the start or since a configuration
-// named it.
-func (p *Proxy) waitsForAgent() bool {
-	return p.listFreshness.pushedByAgent && p.listFreshness.unanswered
+	p.listOutdated = outdated
+	switch {
+	case outdated:
+		p.log.Warn("the server list is outdated; not sending requests by it", "silent_us", int64(now-p.listReceivedAt))
+	case now >= f.outdatedFrom():
+		p.log.Warn("the server list is still outdated; using it all the same")
+	}
+	p.instance.SetListOutdated(outdated)
 }
 
 // Subscribe starts a watch on the server list unless one is under way: its call may be answered late, and would only lose its
@@ -105,17 +67,19 @@
 	p.cancelWatch = cancel
 	p.watchNumber++
 	number, from := p.watchNumber, p.listVersion
-	if p.listFreshness.freshUntil == 0 {
-		p.beginFreshness()
+	if !p.listFreshness.begun {
+		p.listFreshness.begin(p.now())
+		p.reviewFreshness()
 	}
 	onUpdate := func(version int64, hold time.Duration, visit func(discovery.ListVisitor)) {
 		p.post(func() {
 			if number != p.watchNumber {
 				return
 			}
-			p.listVersion, p.ready, p.listFreshness.unanswered = version, true, false
+			p.listVersion, p.ready = version, true
 			visit(&listUpdate{p, false})
-			p.extendFreshness(p.now() + max(silenceDeliveryLimit, logic.Micros(hold.Microseconds())+waitDeliveryLimit))
+			p.listFreshness.answered(p.now(), hold)
+			p.reviewFreshness()
 			p.startAccepting()
 		})
 	}
@@ -142,17 +106,17 @@
 	}
 }
 
-// watchFailed handles the end of a watch and has the list requested again. In general a failed call does not extend the
-// list's freshness: a refusal, a reset or silence may affect this proxy alone, and a change counts as delivered a fixed
-// time after the service had it and could be reached.
+// watchFailed handles the end of a watch and has the list requested again.
 func (p *Proxy) watchFailed(err error) {
+	var failure *discovery.Error
+	if !errors.As(err, &failure) {
+		failure = &discovery.Error{Err: err}
+	}
 	p.log.Warn("cannot get the server list", "error", err)
 	p.watching = false
-	p.ready = p.ready || len(p.servers) > 0 && !p.waitsForAgent()
-	if now := p.now(); errors.Is(err, syscall.ECONNREFUSED) && now < p.listFreshness.freshUntil && !p.waitsForAgent() {
-		// Nobody can reach the service now: its further changes count as delivered only some time after it is back.
-		p.extendFreshness(max(p.listFreshness.freshUntil, now+silenceDeliveryLimit))
-	}
+	p.ready = p.ready || len(p.servers) > 0 && !p.listFreshness.waitsForAgent()
+	p.listFreshness.callFailed(p.now(), failure.Contact, failure.HeldFor)
+	p.reviewFreshness()
 	if p.listFreshness.pushedByAgent {
 		p.scheduleAfter(agentRetryDelay, func() {
 			if p.ctx.Err() == nil {
@@ -169,8 +133,9 @@
 // are specific to a service and the old one would hide changes. The current list is used until the first answer.
 func (p *Proxy) switchService(to *discovery.Client) {
 	old := p.discovery
-	p.discovery, p.listVersion, p.listFreshness.unanswered = to, discovery.NoVersion, true
-	p.extendFreshness(min(p.listFreshness.freshUntil, p.now()+newServiceDeliveryLimit))
+	p.discovery, p.listVersion = to, discovery.NoVersion
+	p.listFreshness.serviceChanged(p.now())
+	p.reviewFreshness()
 	p.startWatch()
 	old.Close()
 }
--- a/internal/proxy/serverlist_test.go
+++ b/internal/proxy/serverlist_test.go
@@ -208,3 +208,37 @@
 	s.leaveSignals <- syscall.SIGTERM
 	s.waitForExit(3 * time.Second)
 }
+
+// requestsAfter opens requests for a while, and returns how many of those that began after the limit a server got.
+func (s *harness) requestsAfter(limit time.Time, server *fleet.ScriptedServer, until time.Time) int {
+	s.Helper()
+	for time.Now().Before(limit) {
+		s.openAndReadAnswer()
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	before := len(server.FirstLines())
+	for time.Now().Before(until) {
+		s.openAndReadAnswer()
+		time.Sleep(20 * time.Millisecond)
+	}
+	return len(server.FirstLines()) - before
+}
+
+// Guards against requests that go to a draining server because a watch that was turned away had a long hold time: the list
+// counted as fresh until 2 s after that time, as if the watch had fallen silent.
+func TestAWatchThatIsTurnedAwayDoesNotExcuseAnOldListForItsHoldTime(t *testing.T) {
+	const grace, hold = 200 * time.Millisecond, 20 * time.Second
+	s, servers := startProxyWithHold(t, hold, configWithoutProbes, 1024, func(p *proxy.Proxy) {
+		p.SetListLimits(logic.Micros(grace.Microseconds()), 10*logic.Second, false)
+	}, "UP a")
+	require.Equal(t, "UP a", s.openAndReadAnswer())
+	calls := s.list.RequestCount()
+	s.list.SetServer("s1", "127.0.0.1:9", "gone") // ends the watch, and the next one is turned away
+	s.list.SetFailure("down")
+	require.Eventually(t, func() bool { return s.list.RequestCount() > calls }, 5*time.Second, time.Millisecond)
+	drained := time.Now()
+	s.list.SetServer("s0", "", "draining")
+	limit := drained.Add(6*time.Second + grace + 50*time.Millisecond)
+	require.Zero(t, s.requestsAfter(limit, servers[0], drained.Add(9*time.Second)))
+}
