An outdated list is not used again while discovery turns calls away

Cause: the list was used again one poll interval after it was outdated, whatever calls had ended with. Ruled out: the first span, which ends in time. Change: the list stays outdated where the service ended a call or turned it away after the last change that was surely received; one 503 ends the use in silence too.

--- a/internal/proxy/freshness.go
+++ b/internal/proxy/freshness.go
@@ -31,6 +31,7 @@
 	unanswered      bool         // the service has not answered since the start or since a configuration named it
 	receivedUntil   logic.Micros // the changes made before this time have been received
 	freshUntil      logic.Micros // a change made from now on counts as delivered then at the earliest
+	endedAt         logic.Micros // when the service last ended a call or turned it away: it could be reached then
 	rejectedAt      logic.Micros // when the service last turned a call away
 }
 
@@ -64,6 +65,7 @@
 			f.receivedUntil, f.freshUntil = now, max(f.freshUntil, now+deliveryLimit)
 		}
 	case discovery.Ended, discovery.Rejected:
+		f.endedAt = now
 		if logic.Micros(heldFor.Microseconds()) >= maxQueueTime {
 			f.receivedUntil = now
 		}
@@ -85,8 +87,13 @@
 // outdatedFrom returns the time from which the list is outdated.
 func (f *listFreshness) outdatedFrom() logic.Micros { return f.freshUntil + f.drainGrace }
 
-// usedAgainFrom returns the time from which the list is used again although it is outdated: a fleet that serves nobody is worse
-// than one that serves by an old list. That does not hold for the list that a new agent has never confirmed.
+// mayHaveMissedChanges reports whether the service could be reached after the last change that was surely received: others may
+// have been told of a change since then.
+func (f *listFreshness) mayHaveMissedChanges() bool { return f.endedAt > f.receivedUntil }
+
+// usedAgainFrom returns the time from which the list is used again although it is outdated, unless changes may have been missed:
+// a fleet that serves nobody is worse than one that serves by an old list while the service is silent. That does not hold for
+// the list that a new agent has never confirmed.
 func (f *listFreshness) usedAgainFrom() logic.Micros { return f.outdatedFrom() + f.maxPollInterval }
 
 // isOutdated reports whether nothing may be sent by the list.
@@ -96,6 +103,8 @@
 		return false
 	case f.waitsForAgent():
 		return true
+	case f.maxPollInterval == 0:
+		return false
 	}
-	return f.maxPollInterval > 0 && now < f.usedAgainFrom()
+	return f.mayHaveMissedChanges() || now < f.usedAgainFrom()
 }
--- a/internal/proxy/serverlist_test.go
+++ b/internal/proxy/serverlist_test.go
@@ -242,3 +242,31 @@
 	limit := drained.Add(6*time.Second + grace + 50*time.Millisecond)
 	require.Zero(t, s.requestsAfter(limit, servers[0], drained.Add(9*time.Second)))
 }
+
+// Guards against requests that go to a draining server after a second span because all calls for the list are turned away: an
+// outdated list was used again as if the service were silent, although it could be reached.
+func TestAnOutdatedListIsNotUsedAgainWhileTheServiceTurnsCallsAway(t *testing.T) {
+	const grace, maxPollInterval = 200 * logic.Millisecond, 2 * logic.Second
+	s, servers := startProxyWithConfig(t, configWithoutProbes, 1024, func(p *proxy.Proxy) { p.SetListLimits(grace, maxPollInterval, false) }, "UP a")
+	require.Equal(t, "UP a", s.openAndReadAnswer())
+	s.list.SetFailure("down")
+	drained := time.Now()
+	s.list.SetServer("s0", "", "draining")
+	require.Zero(t, s.requestsAfter(drained.Add(6300*time.Millisecond), servers[0], drained.Add(11*time.Second)))
+	s.list.SetServer("s0", "", "ready")
+	s.list.SetFailure("")
+	require.Eventually(t, func() bool { return s.openAndReadAnswer() == "UP a" }, 6*time.Second, 20*time.Millisecond, "the list is heard again")
+}
+
+// The service falls silent for good: a list that is outdated for a while is used again, since nobody hears of changes.
+func TestAnOutdatedListIsUsedAgainWhileTheServiceIsSilent(t *testing.T) {
+	const grace, maxPollInterval = 200 * logic.Millisecond, 2 * logic.Second
+	s, _ := startProxyWithConfig(t, configWithoutProbes, 1024, func(p *proxy.Proxy) { p.SetListLimits(grace, maxPollInterval, false) }, "UP a")
+	s.list.SetFailure("silent")
+	silentSince := time.Now()
+	require.Eventually(t, func() bool { return s.openAndReadAnswer() == "BUSY" }, 8*time.Second, 20*time.Millisecond, "outdated")
+	require.Eventually(t, func() bool { return s.openAndReadAnswer() == "UP a" }, 6*time.Second, 20*time.Millisecond, "used again")
+	require.Greater(t, time.Since(silentSince), 6*time.Second)
+	s.list.SetFailure("down")
+	require.Eventually(t, func() bool { return s.openAndReadAnswer() == "BUSY" }, 6*time.Second, 20*time.Millisecond, "it could be reached")
+}
