A process that a new run of an agent finds is not killed because it is silent

Cause: a process that is found was adopted as one that is starting, which must be ready within 20 s. Ruled out: the silent way alone and the restart alone end nothing. Change: the supervisor has a state Adopted, left alone until the first answer, which makes it ready or starting.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -61,9 +61,13 @@
 	registry      *orders.Registry
 	startedMicros int64
 	ready         bool
+	silent        atomic.Bool // calls get no answer
 }
 
-func (stub *instanceStub) Status(context.Context) (control.Status, error) {
+func (stub *instanceStub) Status(ctx context.Context) (control.Status, error) {
+	for stub.silent.Load() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
 	stub.mu.Lock()
 	defer stub.mu.Unlock()
 	status := control.Status{ProtocolVersion: control.ProtocolVersion, PID: os.Getpid(), StartedMicros: stub.startedMicros, Ready: stub.ready, Term: stub.registry.Term()}
@@ -87,7 +91,8 @@
 func (stub *instanceStub) SetLogLevel(context.Context, slog.Level) error { return nil }
 
 // runInstanceStub runs a stub until SIGTERM and returns its exit code. A stub of kind "crash" exits at once; one of kind
-// "other-version" speaks another version of the control protocol. The others check that they are given a file of orders.
+// "other-version" speaks another version of the control protocol. The others check that they are given a file of orders. SIGUSR1
+// makes them leave calls for their status unanswered, and SIGUSR2 answer again.
 func runInstanceStub(kind, controlAddress, ordersPath string, log *slog.Logger) int {
 	terminate := make(chan os.Signal, 1)
 	signal.Notify(terminate, syscall.SIGTERM)
@@ -125,6 +130,13 @@
 		return 6
 	}
 	defer server.Close()
+	silence := make(chan os.Signal, 1)
+	signal.Notify(silence, syscall.SIGUSR1, syscall.SIGUSR2)
+	go func() {
+		for received := range silence {
+			stub.silent.Store(received == syscall.SIGUSR1)
+		}
+	}()
 	<-terminate
 	return 0
 }
--- a/agent/instance.go
+++ b/agent/instance.go
@@ -72,7 +72,7 @@
 // run supervises the instance until ctx ends. The process keeps running afterwards.
 func (i *instance) run(ctx context.Context) {
 	if i.process = findRunningProcess(i.path("process")); i.process != nil {
-		i.supervisor.Adopt(i.agent.clock.Now(), i.process.RestartNumber, false)
+		i.supervisor.Adopt(i.agent.clock.Now(), i.process.RestartNumber)
 		i.agent.log.Info("adopted a running instance", "instance", i.Name, "pid", i.process.PID)
 	}
 	nextPoll := logic.Micros(0)
@@ -151,7 +151,8 @@
 		}
 		p.StartTime, p.RestartNumber = startTime, savedRestartNumber(i.path("process"))
 		i.process = p
-		i.supervisor.Adopt(i.agent.clock.Now(), p.RestartNumber, status.Ready)
+		i.supervisor.Adopt(i.agent.clock.Now(), p.RestartNumber)
+		i.reportReadiness(status)
 		i.agent.log.Info("adopted an instance that answers at its control address", "instance", i.Name, "pid", p.PID)
 		if err := p.save(i.path("process")); err != nil {
 			i.agent.log.Error("cannot save the process file of an instance", "instance", i.Name, "error", err)
@@ -217,15 +218,25 @@
 	i.mu.Lock()
 	i.status, i.polledAt = &status, i.agent.clock.Wall()
 	i.mu.Unlock()
-	if status.Ready && !status.Leaving {
-		i.supervisor.ReportReady(i.agent.clock.Now())
-	}
+	i.reportReadiness(status)
 	if state, _, _ := i.supervisor.State(); state == supervisor.Leaving || status.Leaving {
 		return // the last answers of an exiting process don't make it a live member again
 	}
 	i.agent.withMemberList(func(list memberList) { list.RecordHeartbeat(i.agent.clock.Now(), i.Name) })
 }
 
+// reportReadiness passes on to the supervisor whether the instance is ready by its answer. One that is leaving is neither ready nor
+// about to be.
+func (i *instance) reportReadiness(status control.Status) {
+	switch {
+	case status.Leaving:
+	case status.Ready:
+		i.supervisor.ReportReady(i.agent.clock.Now())
+	default:
+		i.supervisor.ReportNotReady(i.agent.clock.Now())
+	}
+}
+
 // sendOrders sends the instance the orders that it has not answered yet, oldest first. It stops at the first call that fails.
 func (i *instance) sendOrders(ctx context.Context) {
 	if i.processStartMicros == 0 {
--- a/agent/supervisor/supervisor.go
+++ b/agent/supervisor/supervisor.go
@@ -15,6 +15,7 @@
 const (
 	Stopped      State = "stopped"
 	Starting     State = "starting" // its process runs and is not ready yet
+	Adopted      State = "adopted"  // its process was started before, has not answered yet, and may have been serving for long
 	Ready        State = "ready"
 	BackingOff   State = "waiting"    // between a failure and the next start
 	CrashLooping State = "crash-loop" // the same, after several failures in a row
@@ -82,13 +83,11 @@
 	}
 }
 
-// Adopt reports that a process of the instance runs already, the restart command that it was started for, and whether it is ready.
-func (s *Supervisor) Adopt(now logic.Micros, restart uint64, ready bool) {
+// Adopt reports that a process of the instance runs already, and the restart command that it was started for. Until it has answered it
+// is left alone: it may serve clients, and only the way to it may be silent.
+func (s *Supervisor) Adopt(now logic.Micros, restart uint64) {
 	s.hasProcess, s.starts, s.completedRestart, s.requestedRestart = true, 1, restart, max(s.requestedRestart, restart)
-	s.setState(now, Starting)
-	if ready {
-		s.setState(now, Ready)
-	}
+	s.setState(now, Adopted)
 }
 
 // setState changes the state.
@@ -107,7 +106,7 @@
 
 // ReportReady reports that the instance is ready. It is called repeatedly while that is so.
 func (s *Supervisor) ReportReady(now logic.Micros) {
-	if s.state == Starting {
+	if s.state == Starting || s.state == Adopted {
 		s.setState(now, Ready)
 	}
 	if s.state == Ready && now-s.stateSince >= failureResetTime {
@@ -115,6 +114,13 @@
 	}
 }
 
+// ReportNotReady reports that the instance has answered that it is not ready. One that was adopted is starting then.
+func (s *Supervisor) ReportNotReady(now logic.Micros) {
+	if s.state == Adopted {
+		s.setState(now, Starting)
+	}
+}
+
 // ReportExit reports that the process has ended. That is a failure unless it had been asked to terminate.
 func (s *Supervisor) ReportExit(now logic.Micros, reason string) {
 	s.hasProcess = false
--- a/agent/supervisor/supervisor_test.go
+++ b/agent/supervisor/supervisor_test.go
@@ -118,7 +118,7 @@
 
 func TestProcessOfAnEarlierAgentIsAdopted(t *testing.T) {
 	s := supervisor.New(1)
-	s.Adopt(0, 4, false)
+	s.Adopt(0, 4)
 	s.SetDesired(0, true, 4)
 	action, _ := s.NextAction(second)
 	require.Equal(t, supervisor.NoAction, action)
@@ -147,3 +147,17 @@
 	}
 	require.Greater(t, len(starts), 3)
 }
+
+// Guards against an adopted process that is killed as a start that failed because it does not answer: it may be serving clients.
+func TestAdoptedProcessThatDoesNotAnswerIsNotKilled(t *testing.T) {
+	s := supervisor.New(1)
+	s.Adopt(0, 4)
+	s.SetDesired(0, true, 4)
+	action, _ := nextAction(t, s, 0)
+	require.Equal(t, supervisor.NoAction, action)
+	requireState(t, s, supervisor.Adopted)
+	s.ReportNotReady(200 * second)
+	action, at := nextAction(t, s, 200*second)
+	require.Equal(t, supervisor.Kill, action, "it answers, and never becomes ready")
+	require.Greater(t, at, 210*second)
+}
