An agent that has not looked for its instances does not call them stopped

Cause: the first state of an instance was 'stopped', and an agent reports it before it has looked; an instance that is still leaving counted as not running, too. Change: the first state is 'unknown'; hatchctl takes only 'stopped' for an answer.

--- a/agent/adoption_test.go
+++ b/agent/adoption_test.go
@@ -29,3 +29,22 @@
 	cluster.eventuallyAll("the instance is heard again", isReady)
 	require.Equal(t, pid, cluster.instancePID(0), "it is the same process")
 }
+
+// Guards against an agent that calls a running instance stopped before it has looked for it: an operator's order counted as obeyed
+// then, by an instance that had not heard of it.
+func TestRestartedAgentDoesNotCallAnInstanceStoppedBeforeItHasLooked(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 1, healthyInstances(1)...)
+	cluster.startAgents(0)
+	cluster.eventuallyAll("the instance is ready", isReady)
+	for range 3 {
+		cluster.killAgent(0)
+		cluster.startAgents(0)
+		seen := map[supervisor.State]bool{}
+		cluster.eventuallyAll("the instance is ready again", func(i agent.InstanceView) bool {
+			seen[i.State] = true
+			return isReady(i)
+		})
+		require.NotContains(t, seen, supervisor.Stopped)
+	}
+}
--- a/agent/instance.go
+++ b/agent/instance.go
@@ -56,12 +56,12 @@
 	superviseInterval = 50 * time.Millisecond
 )
 
-// newInstance returns an instance that is not running. Its restart delays are seeded by the names of agent and instance.
+// newInstance returns an instance of which it is not known yet whether it runs. Its restart delays are seeded by the names of agent and instance.
 func (a *Agent) newInstance(config InstanceConfig) *instance {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(a.config.Name + "/" + config.Name))
 	return &instance{InstanceConfig: config, agent: a, control: control.NewClient(config.ControlAddress), supervisor: supervisor.New(int64(hash.Sum64())), orderResults: map[string]OrderResult{},
-		state: supervisor.Stopped}
+		state: supervisor.Unknown}
 }
 
 // path returns the file of a kind ("process", "orders" or "log") in the data directory.
--- a/agent/supervisor/supervisor.go
+++ b/agent/supervisor/supervisor.go
@@ -13,6 +13,7 @@
 type State string
 
 const (
+	Unknown      State = "unknown" // nobody has looked yet whether its process runs
 	Stopped      State = "stopped"
 	Starting     State = "starting" // its process runs and is not ready yet
 	Adopted      State = "adopted"  // its process was started before, has not answered yet, and may have been serving for long
--- a/cmd/hatchctl/cli.go
+++ b/cmd/hatchctl/cli.go
@@ -133,7 +133,7 @@
 		case known && result.Number >= number:
 			answer.Verdict, answer.Reason = string(result.Verdict), result.Reason
 			answer.AfterMS = math.Max(0, float64(result.ReceivedAt-issuedAt)/1000)
-		case !i.ShouldRun || i.State == supervisor.Stopped:
+		case i.State == supervisor.Stopped:
 			answer.Verdict, answer.Reason = "not running", "it gets the order when it starts"
 		case i.State == supervisor.CrashLooping:
 			answer.Verdict, answer.Reason = "no answer", "crash loop: "+i.Reason
--- a/cmd/hatchctl/main_test.go
+++ b/cmd/hatchctl/main_test.go
@@ -75,7 +75,8 @@
 
 func TestExitCodeOfOrder(t *testing.T) {
 	obeyed, silent := instanceThatAnswered("n1", orders.Obeyed), agent.InstanceView{Name: "n2", ShouldRun: true, State: supervisor.Ready, MemberState: "lost"}
-	stopped := agent.InstanceView{Name: "n3", State: supervisor.Stopped}
+	stopped, leaving := agent.InstanceView{Name: "n3", State: supervisor.Stopped}, agent.InstanceView{Name: "n4", State: supervisor.Leaving, MemberState: "left"}
+	notLookedFor := agent.InstanceView{Name: "n5", State: supervisor.Unknown, MemberState: "joining"}
 	for name, c := range map[string]struct {
 		status    int
 		instances []agent.InstanceView
@@ -84,6 +85,8 @@
 	}{
 		"all obeyed":                                 {200, []agent.InstanceView{obeyed, stopped}, exitSuccess, `"verdict": "not running"`},
 		"one does not answer":                        {200, []agent.InstanceView{obeyed, silent}, exitNoAnswer, `"why": "ready, lost"`},
+		"one is still leaving":                       {200, []agent.InstanceView{obeyed, leaving}, exitNoAnswer, `"why": "leaving, left"`},
+		"an agent has not looked for its instance":   {200, []agent.InstanceView{obeyed, notLookedFor}, exitNoAnswer, `"why": "unknown, joining"`},
 		"one refuses":                                {200, []agent.InstanceView{obeyed, instanceThatAnswered("n2", orders.Refused)}, exitRefused, `"verdict": "refused"`},
 		"one does not know the server":               {200, []agent.InstanceView{obeyed, instanceThatAnswered("n2", orders.Unknown)}, exitRefused, `"verdict": "unknown"`},
 		"an answer to an older order does not count": {200, []agent.InstanceView{{Name: "n1", ShouldRun: true, State: supervisor.Ready, OrderResults: map[string]agent.OrderResult{"s1": {Number: 6, Verdict: orders.Obeyed}}}}, exitNoAnswer, `"no answer"`},
