The processes of a replacement tell each other the server list

Cause: what was learnt of servers was passed on, not what had been told; the successor went by its configuration's list for 6 s from its start. Change: the predecessor tells its list when a successor connects, and both pass on each answer; a successor whose calls fail waits for the list, 1 s at most, and sends nothing without an answer of its own 2 s after its yes.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -20,67 +18,12 @@
 	"hatchproxy/logic"
 )
 
-// ListVisitor receives the contents of an answer.
-type ListVisitor interface {
-	// BeginFullList comes first if the answer is the full list and not only its changes: servers that have no entry in it
-	// are no longer listed.
-	BeginFullList()
-	// Entry is called for each server in the answer. weight is the capacity that the service states, and launchedAt is when
-	// the server was started.
-	Entry(uid, endpoint, zone, model string, cell logic.CellID, state logic.State, weight float64,
-		launchedAt logic.Micros)
-	// EndList comes last.
-	EndList()
-}
-
-// states are the server states by their names in an answer.
-var states = map[string]logic.State{"ready": logic.Ready, "draining": logic.Draining, "gone": logic.Gone}
-
-// Decode parses an answer of the discovery service. It returns the list's version and a function that passes the entries to
-// a visitor. If any part of the answer is invalid, it returns an error and no entry is used.
-func Decode(text []byte) (version int64, visit func(ListVisitor), err error) {
-	var body struct {
-		Rev     *int64
-		All     bool
-		Targets []struct {
-			UID, Endpoint, AZ, Model, State string
-
-			PodGroup     uint16  `json:"pod_group"`
-			CapacityHint float64 `json:"capacity_hint"`
-			BootMS       float64 `json:"boot_ms"`
-		}
-	}
-	if err := json.Unmarshal(text, &body); err != nil {
-		return 0, nil, err
-	}
-	if body.Rev == nil {
-		return 0, nil, errors.New("the list has no version")
-	}
-	for _, target := range body.Targets {
-		if target.UID == "" {
-			return 0, nil, errors.New("a server has no uid")
-		}
-		if _, known := states[target.State]; !known {
-			return 0, nil, fmt.Errorf("server state %.40q is unknown", target.State)
-		}
-	}
-	return *body.Rev, func(visitor ListVisitor) {
-		if body.All {
-			visitor.BeginFullList()
-		}
-		for _, target := range body.Targets {
-			visitor.Entry(target.UID, target.Endpoint, target.AZ, target.Model, logic.CellID(target.PodGroup), states[target.State],
-				target.CapacityHint, logic.Micros(target.BootMS)*logic.Millisecond)
-		}
-		visitor.EndList()
-	}, nil
-}
-
 // ServerID returns a server's ID. It is computed from the uid alone, so that all proxies agree on it.
 func ServerID(uid string) logic.ServerID { return logic.ServerID(protocol.HashName(uid)) }
 
 // Client asks a discovery service for the list.
 type Client struct {
+	address    string
 	baseURL    string
 	maxHold    time.Duration
 	httpClient *http.Client
@@ -116,7 +59,7 @@
 // NewClient returns a client of the service at address. maxHold is the longest hold time of a watch.
 func NewClient(address string, maxHold time.Duration) *Client {
 	return &Client{
-		baseURL: "http://" + address + "/v1/servers", maxHold: maxHold,
+		address: address, baseURL: "http://" + address + "/v1/servers", maxHold: maxHold,
 		httpClient: &http.Client{Transport: &http.Transport{
 			DialContext:        dial,
 			MaxConnsPerHost:    maxConcurrentCalls,
@@ -137,6 +80,9 @@
 	return conn, err
 }
 
+// Address returns the address of the service.
+func (c *Client) Address() string { return c.address }
+
 // Close closes the idle connections. It does not end calls; their context does.
 func (c *Client) Close() { c.httpClient.CloseIdleConnections() }
 
--- a/internal/proxy/freshness.go
+++ b/internal/proxy/freshness.go
@@ -16,6 +16,8 @@
 	// newServiceDeliveryLimit is how long after a new configuration the list of the discovery service that it names counts
 	// as delivered; the protocol defines this, too.
 	newServiceDeliveryLimit = 4 * second
+	// takeoverDeliveryLimit is how long after a new process has taken another's place the list counts as delivered to it.
+	takeoverDeliveryLimit = 2 * second
 	// maxQueueTime is how long a call may wait in the service's queue. A watch that the service ends later was heard, and
 	// would have been answered with the changes made until then.
 	maxQueueTime = 4 * second
@@ -56,6 +58,21 @@
 	f.freshUntil = now + max(deliveryLimit, logic.Micros(hold.Microseconds())+waitDeliveryLimit)
 }
 
+// toldByPeer records a list that the process on the other side of a replacement has passed on, and that lacks no change which was
+// made before the given time ago.
+func (f *listFreshness) toldByPeer(now, age logic.Micros) {
+	if receivedUntil := now - max(age, 0); receivedUntil > f.receivedUntil {
+		f.receivedUntil, f.freshUntil = receivedUntil, max(f.freshUntil, receivedUntil+deliveryLimit)
+	}
+}
+
+// takenOver records that this process has taken another's place.
+func (f *listFreshness) takenOver(now logic.Micros) {
+	if f.unanswered {
+		f.freshUntil = min(f.freshUntil, now+takeoverDeliveryLimit)
+	}
+}
+
 // callFailed records that a call for the list has failed.
 func (f *listFreshness) callFailed(now logic.Micros, contact discovery.Contact, heldFor time.Duration) {
 	switch contact {
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -28,6 +28,9 @@
 	successorConfirms bool                 // the successor confirms the connections that it is sent
 	transfers         transfers            // connections that were sent to the successor and are not confirmed
 	lastOrder         modeOrder            // to evacuate or to rejoin, whichever process was given it
+
+	listLinks            map[*succession.Conn]*listLink
+	predecessorListKnown bool // the predecessor has told the list that it had, or that it had none
 }
 
 // InheritListener makes the proxy accept on an inherited listening TCP socket and, when it leaves, hand its clients over to
@@ -68,6 +71,10 @@
 	if h == nil || !p.acceptor.Paused() || h.successorReady || p.mode == leaving || !p.ready {
 		return
 	}
+	if h.predecessor != nil {
+		p.listFreshness.takenOver(p.now())
+		p.reviewFreshness()
+	}
 	p.acceptor.Resume()
 	p.listenForSuccessor()
 	if h.predecessor != nil {
@@ -128,6 +135,7 @@
 	Evacuating  bool            `json:",omitempty"` // the sender was ordered to evacuate: to move its clients away
 	Rejoined    bool            `json:",omitempty"` // the sender was ordered to rejoin, which ends an evacuation
 	OrderNumber uint64          `json:",omitempty"` // with Evacuating or Rejoined: the order's number, from 1 on
+	List        *listPacket     `json:",omitempty"` // a part of the server list or of its changes
 }
 
 // maxServersPerPacket is how many servers a packet describes at most, with some 300 bytes each.
@@ -177,6 +185,7 @@
 	h.successor, h.successorReady = c, false
 	p.log.Info("a successor process connected")
 	p.sendLastOrder(c)
+	p.sendWholeList(c)
 	go func() {
 		for {
 			text, files, err := c.Receive()
@@ -209,6 +218,8 @@
 		p.transferConfirmed(message.Confirmed)
 	case message.Evacuating || message.Rejoined:
 		p.orderReceived(message, c)
+	case message.List != nil:
+		p.listReceived(*message.List, c)
 	case message.Refused != 0:
 		p.log.Warn("the successor process did not get a connection's descriptors; taking it back", "number", message.Refused)
 		p.takeBack(message.Refused)
@@ -241,6 +252,7 @@
 func (p *Proxy) successorGone(c *succession.Conn) {
 	c.Close()
 	h := p.handover
+	delete(h.listLinks, c)
 	if h.successor != c {
 		return
 	}
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -14,10 +14,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hatchproxy/internal/discovery"
 	"hatchproxy/internal/platformconfig"
 	"hatchproxy/internal/proxy"
 	"hatchproxy/internal/succession"
 	"hatchproxy/lab/fleet"
+	"hatchproxy/logic"
 )
 
 // handoverEnv is the environment of proxies that replace each other: they share a listening socket, a handover folder and a
@@ -28,6 +30,10 @@
 	folder string
 	list   *fleet.ManualDiscovery
 	server *fleet.ScriptedServer
+
+	maxHold    time.Duration // the longest hold time of the watches on the list
+	cachedList []byte        // what processes know from an earlier run
+	drainGrace logic.Micros
 }
 
 // newHandoverEnv returns an environment with one server, which never answers requests with x=1.
@@ -47,7 +53,7 @@
 	})
 	require.NoError(t, err)
 	list.SetServer("s0", server.Address, "ready")
-	h := &handoverEnv{t, l.(*net.TCPListener), folder, list, server}
+	h := &handoverEnv{T: t, socket: l.(*net.TCPListener), folder: folder, list: list, server: server, maxHold: time.Second}
 	t.Cleanup(func() {
 		_ = l.Close()
 		_ = os.RemoveAll(folder)
@@ -64,8 +70,13 @@
 	require.NoError(h, err)
 	b, err := platformconfig.SettingsFromLines(configWithoutProbes).NewBalancer(7)
 	require.NoError(h, err)
-	p := proxy.New(testOptions(slog.New(slog.DiscardHandler), b, h.socket.Addr().String(), h.list, 1024))
+	options := testOptions(slog.New(slog.DiscardHandler), b, h.socket.Addr().String(), h.list, 1024)
+	options.Discovery, options.CachedList = discovery.NewClient(h.list.Address(), h.maxHold), h.cachedList
+	p := proxy.New(options)
 	p.EnableMetrics()
+	if h.drainGrace > 0 {
+		p.SetListLimits(h.drainGrace, 10*logic.Second, false)
+	}
 	require.NoError(h, p.InheritListener(fd, h.folder))
 	s := &harness{T: h.T, listenAddr: h.socket.Addr().String(), list: h.list, leaveSignals: make(chan os.Signal, 1), runResult: make(chan error, 1), proxy: p}
 	go func() { s.runResult <- p.Run(s.leaveSignals, nil, nil) }()
@@ -396,3 +407,62 @@
 	c.send("M 1\r\n")
 	c.expectLine("M 1")
 }
+
+// cacheList makes processes that are started from now on know the server from an earlier run, as ready.
+func (h *handoverEnv) cacheList() {
+	h.cachedList = fmt.Appendf(nil, `{"rev":1,"all":true,"targets":[{"uid":"s0","endpoint":%q,"az":"a","model":"m","state":"ready","capacity_hint":1}]}`, h.server.Address)
+}
+
+// Guards against a successor that sends to a draining server by the list of an earlier run, although its predecessor had been told
+// of the drain: the list was not handed on, and discovery turned the successor's calls away.
+func TestASuccessorKeepsToTheDrainsThatItsPredecessorWasTold(t *testing.T) {
+	h := newHandoverEnv(t)
+	h.cacheList()
+	other, err := fleet.StartScriptedServer(func(string) string { return "UP b" })
+	require.NoError(t, err)
+	first := h.startProcess()
+	first.openRequest("c=chat,d=1500").expectLine("UP a")
+	h.list.SetServer("s1", other.Address, "ready")
+	h.list.SetServer("s0", "", "draining")
+	first.waitForMetrics("cluster_size 2", "cluster_unhealthy 1")
+	h.list.SetFailure("down")
+	second := h.startProcess()
+	for range 6 {
+		second.openRequest("c=chat,d=1500").expectLine("UP b")
+	}
+	first.leaveSignals <- syscall.SIGTERM
+	first.waitForExit(3 * time.Second)
+	for range 6 {
+		second.openRequest("c=chat,d=1500").expectLine("UP b")
+	}
+	require.Len(t, h.server.FirstLines(), 1)
+}
+
+// Guards against a predecessor that goes on sending its pending requests to a server whose drain only its successor was told.
+func TestAPredecessorHearsOfADrainFromItsSuccessor(t *testing.T) {
+	h := newHandoverEnv(t)
+	h.maxHold = 20 * time.Second
+	first := h.startProcess()
+	h.list.SilenceOpenRequests()
+	h.list.SetServer("s0", "", "draining")
+	second := h.startProcess()
+	second.waitForMetrics("cluster_unhealthy 1")
+	first.waitForMetrics("cluster_unhealthy 1")
+}
+
+// Guards against a successor that sends by a list of an earlier run for longer than 2 s after it has taken over, while discovery
+// turns its calls away.
+func TestASuccessorWithoutNewsStopsSendingTwoSecondsAfterItHasTakenOver(t *testing.T) {
+	h := newHandoverEnv(t)
+	h.cacheList()
+	h.drainGrace = 200 * logic.Millisecond
+	h.startProcess()
+	h.list.SetFailure("down")
+	second := h.startProcess()
+	h.list.SetServer("s0", "", "draining")
+	limit := time.Now().Add(2250 * time.Millisecond)
+	require.Zero(t, second.requestsAfter(limit, h.server, limit.Add(2*time.Second)))
+	h.list.SetFailure("")
+	h.list.SetServer("s0", "", "ready")
+	require.Eventually(t, func() bool { return second.openAndReadAnswer() == "UP a" }, 6*time.Second, 20*time.Millisecond)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -75,6 +75,8 @@
 	readConfig        func() (ReloadedConfig, error)
 	listReceivedAt    logic.Micros // when the server list last arrived; 0 if never
 	listVersion       int64
+	listTold          bool // the list is of the discovery service, or of the other process of a replacement
+	listCallFailed    bool // a call for the list has failed, or is overdue
 	listFreshness     listFreshness
 	listOutdated      bool // as the balancer was last told
 	watching          bool // a watch is under way: a call is open, or the next one is about to be made
--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -76,15 +76,18 @@
 			if number != p.watchNumber {
 				return
 			}
-			p.listVersion, p.ready = version, true
-			visit(&listUpdate{p, false})
+			p.applyAnswer(version, visit)
 			p.listFreshness.answered(p.now(), hold)
 			p.reviewFreshness()
 			p.startAccepting()
 		})
 	}
 	if number == 1 {
-		p.scheduleAfter(cachedListDelay, p.serveByCachedList)
+		p.scheduleAfter(predecessorListTimeout, p.serveByCachedList)
+		p.scheduleAfter(cachedListDelay, func() {
+			p.listCallFailed = true
+			p.serveByCachedList()
+		})
 	}
 	service := p.discovery
 	go func() {
@@ -97,13 +100,32 @@
 	}()
 }
 
-// serveByCachedList makes a proxy ready that knows servers only from an earlier run and has had no answer by now.
+// applyAnswer applies an answer of the discovery service. Changes up to a version that another process has told already are
+// left out: they may be older than what is known.
+func (p *Proxy) applyAnswer(version int64, visit func(discovery.ListVisitor)) {
+	var answer discovery.Collector
+	visit(&answer)
+	after := p.listVersion
+	p.ready, p.listTold = true, true
+	update := &listUpdate{p, false}
+	if !answer.Full && version < after {
+		update.EndList()
+		return
+	}
+	p.listVersion = version
+	visit(update)
+	p.passOnAnswer(after, version, answer)
+}
+
+// serveByCachedList makes a proxy ready that has had no answer, and knows servers only from an earlier run or from its
+// predecessor.
 func (p *Proxy) serveByCachedList() {
-	if !p.ready && len(p.servers) > 0 && p.ctx.Err() == nil {
-		p.log.Warn("no answer with the server list yet; serving by the cached one")
-		p.ready = true
-		p.startAccepting()
+	if p.ready || !p.listCallFailed || len(p.servers) == 0 || p.awaitsPredecessorList() || p.ctx.Err() != nil {
+		return
 	}
+	p.log.Warn("no answer with the server list yet; serving by the cached one")
+	p.ready = true
+	p.startAccepting()
 }
 
 // watchFailed handles the end of a watch and has the list requested again.
@@ -114,7 +136,7 @@
 	}
 	p.log.Warn("cannot get the server list", "error", err)
 	p.watching = false
-	p.ready = p.ready || len(p.servers) > 0 && !p.listFreshness.waitsForAgent()
+	p.listCallFailed = p.listCallFailed || !p.listFreshness.waitsForAgent()
 	p.listFreshness.callFailed(p.now(), failure.Contact, failure.HeldFor)
 	p.reviewFreshness()
 	if p.listFreshness.pushedByAgent {
@@ -126,6 +148,7 @@
 	} else {
 		p.instance.ListRequestFailed(p.now())
 	}
+	p.serveByCachedList()
 	p.startAccepting()
 }
 
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -40,7 +40,11 @@
 		defer c.Close()
 		for p.receivePacket(c) {
 		}
-		p.post(func() { p.handover.predecessor = nil })
+		p.post(func() {
+			delete(p.handover.listLinks, c)
+			p.handover.predecessor = nil
+			p.serveByCachedList()
+		})
 	}()
 }
 
@@ -112,6 +116,8 @@
 		p.instance.Restore(*message.Memory)
 	case message.Evacuating || message.Rejoined:
 		p.orderReceived(message, p.handover.predecessor)
+	case message.List != nil:
+		p.listReceived(*message.List, p.handover.predecessor)
 	}
 	closeFiles(files)
 	release()
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -210,6 +210,14 @@
 	return s.effectiveState(now), s.effectiveState(now) != s.listState
 }
 
+// ListState returns the state of a server by the list alone.
+func (r *Registry) ListState(id logic.ServerID) logic.State {
+	if s := r.servers[id]; s != nil {
+		return s.listState
+	}
+	return logic.Gone
+}
+
 // Orders returns the newest order on each server, sorted by number. An instance keeps to these orders, even while no author
 // of orders can reach it.
 func (r *Registry) Orders() []Order {
