A connection is restored when the list has arrived, not when a call for it has failed

Cause: restoreConnection took 'ready' for 'the list has arrived'; a 503 makes a proxy ready by an earlier list. Change: it asks whether a list was told, by the service or the predecessor.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -354,7 +354,7 @@
 	case c.request.HasEnded():
 	case now >= c.attachment.HardLimit:
 		p.answerAndClose(c, telemetry.Errored, protocol.FailedLine, c.failureReason())
-	case p.servers[discovery.ServerID(c.parser.ResumeServer)] == nil && p.ready && now-c.attachment.ArrivedAt > requestTimeout:
+	case p.servers[discovery.ServerID(c.parser.ResumeServer)] == nil && p.listTold && now-c.attachment.ArrivedAt > requestTimeout:
 		p.answerAndClose(c, telemetry.Errored, protocol.FailedLine, "not listed") // the list has arrived, and the server is not on it
 	case p.servers[discovery.ServerID(c.parser.ResumeServer)] == nil:
 		p.scheduleAfter(restoreRetryDelay, func() { p.restoreConnection(c) })
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -466,3 +466,19 @@
 	h.list.SetServer("s0", "", "ready")
 	require.Eventually(t, func() bool { return second.openAndReadAnswer() == "UP a" }, 6*time.Second, 20*time.Millisecond)
 }
+
+// Guards against clients that were established before the start and are answered ERR because their server is not on the list of an
+// earlier run: a proxy that was ready by that list took it for the present one.
+func TestAConnectionIsRestoredOnceTheListThatNamesItsServerArrives(t *testing.T) {
+	h := newHandoverEnv(t)
+	h.cacheList()
+	other, err := fleet.StartScriptedServer(func(string) string { return "UP b" })
+	require.NoError(t, err)
+	h.list.SetServer("s1", other.Address, "ready")
+	h.list.SetFailure("down")
+	s := h.startProcess()
+	c := s.openRequest("c=chat,d=20000,at=s1")
+	time.Sleep(3 * time.Second) // longer than the time after which a server that is not listed is given up
+	h.list.SetFailure("")
+	c.expectLine("UP b")
+}
