A connection that its peer has reset is dropped, and costs no descriptor

Cause: such a socket has no remote address; gnet panics on it after it has duplicated the descriptor, and the registration was tried again for 250 ms. Ruled out: dials to servers that reset, and probes. Change: register fails with errPeerGone before gnet has the connection, and nothing is tried again.

--- a/cmd/hatchproxy/replacement_test.go
+++ b/cmd/hatchproxy/replacement_test.go
@@ -26,6 +26,7 @@
 	program string
 	folder  string
 	socket  *os.File
+	list    *fleet.ManualDiscovery
 }
 
 // descriptorLimit is how many descriptors each process may open; its configuration says the same.
@@ -54,7 +55,14 @@
 	})
 	config := fmt.Sprintf(strings.Replace(configTemplate, `"rev":900`, `"rev":0`, 1), address, list.Address())
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "config.json"), []byte(config), 0o600))
-	return &replaceableProcesses{t, address, program, folder, socket}
+	return &replaceableProcesses{t, address, program, folder, socket, list}
+}
+
+// logText returns what the processes have logged.
+func (r *replaceableProcesses) logText() string {
+	text, err := os.ReadFile(filepath.Join(r.folder, "log"))
+	require.NoError(r, err)
+	return string(text)
 }
 
 // start starts a process, waits until it serves, and returns it with a channel that is closed at its end.
--- a/internal/proxy/register.go
+++ b/internal/proxy/register.go
@@ -19,6 +19,9 @@
 // does not report this case.
 var errNotRegistered = errors.New("the event loop did not register the connection")
 
+// errPeerGone reports that the peer of a connection has reset it. There is nobody left to answer, so it is not tried again.
+var errPeerGone = errors.New("the peer has reset the connection")
+
 // registerTimeout bounds the retries to register an accepted connection. After that the client is refused, while it
 // still has time to try elsewhere.
 const registerTimeout = 250 * time.Millisecond
@@ -32,6 +35,11 @@
 // register hands a connection to the event loop and waits until the loop has opened it. The connection belongs to the
 // loop in any case: it is closed on failure.
 func (p *Proxy) register(owner any, conn net.Conn) error {
+	// A socket that its peer has reset has no remote address any more, which gnet relies on.
+	if conn.RemoteAddr() == nil {
+		_ = conn.Close()
+		return errPeerGone
+	}
 	r := &registration{owner: owner}
 	result, err := p.loop.Enroll(gnet.NewContext(context.Background(), r), conn)
 	if err != nil {
@@ -54,21 +62,22 @@
 
 // registerWithRetry registers a connection's descriptor and retries for up to registerTimeout. If that fails, the final
 // line is written to the connection, so that a client is not closed without an answer although its request may have
-// arrived. The file is closed in any case.
+// arrived, unless the peer has reset the connection. The file is closed in any case.
 func (p *Proxy) registerWithRetry(owner any, file *os.File, finalLine []byte) error {
 	defer file.Close()
 	ctx, cancel := context.WithTimeout(p.ctx, registerTimeout)
 	defer cancel()
-	err := transient.Retry(ctx, transient.Backoff{Initial: time.Millisecond, Max: 20 * time.Millisecond}, alwaysRetry, func() error {
+	err := transient.Retry(ctx, transient.Backoff{Initial: time.Millisecond, Max: 20 * time.Millisecond}, isPeerPresent, func() error {
 		p.post(func() { p.counters.RegisterRetries++ })
 		return p.registerFile(owner, file)
 	})
-	if err != nil && p.ctx.Err() == nil {
-		p.log.Warn("cannot register a connection with the event loop; refusing it", "error", err)
+	if err == nil || errors.Is(err, errPeerGone) {
+		return err
 	}
-	if err != nil {
-		sendFinalLine(file, finalLine)
+	if p.ctx.Err() == nil {
+		p.log.Warn("cannot register a connection with the event loop; refusing it", "error", err)
 	}
+	sendFinalLine(file, finalLine)
 	return err
 }
 
@@ -85,8 +94,8 @@
 // accepted or received, and two duplicates, one of the runtime's and one of gnet's.
 const registrationDescriptors = 3
 
-// alwaysRetry makes transient.Retry go on after any error.
-func alwaysRetry(error) bool { return true }
+// isPeerPresent makes transient.Retry go on after any error, unless the peer is gone.
+func isPeerPresent(err error) bool { return !errors.Is(err, errPeerGone) }
 
 // sendFinalLine writes a final line to a connection that the event loop never held, and ends its sending side. The caller
 // closes the file.
@@ -106,7 +115,7 @@
 func (p *Proxy) acceptClient(file *os.File) {
 	p.unregistered.Add(registrationDescriptors)
 	c := &client{connectedAt: p.now()}
-	if err := p.registerFile(c, file); err == nil {
+	if err := p.registerFile(c, file); err == nil || errors.Is(err, errPeerGone) {
 		_ = file.Close()
 		p.unregistered.Add(-registrationDescriptors)
 		return
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -207,16 +207,17 @@
 			return
 		}
 		if err := p.registerWithRetry(owner, file, finalLine); err != nil && p.ctx.Err() == nil {
-			p.post(func() { p.registrationFailed(owner) })
+			p.post(func() { p.registrationFailed(owner, errors.Is(err, errPeerGone)) })
 		}
 	}()
 }
 
-// registrationFailed ends the other side of a connection that could not be registered with the event loop.
-func (p *Proxy) registrationFailed(owner any) {
+// registrationFailed ends the other side of a connection that could not be registered with the event loop, or that its peer had
+// reset before.
+func (p *Proxy) registrationFailed(owner any, reset bool) {
 	switch owner := owner.(type) {
 	case *client:
-		p.clientClosed(owner, false)
+		p.clientClosed(owner, reset)
 	case *attempt:
 		if t := owner.client.takeover; t != nil {
 			owner.client.takeover = nil
