Output that peers do not read is bounded by its sum, a quarter of the memory

Cause: 256 KiB a connection were the only bound. Ruled out: the rig's play 'deaf' as evidence, where the kernel's buffers take the bytes. Change: above a quarter of memory_mb the connection that holds most is given up in the way that one over its own bound is; its output is dropped at once. Counted and logged once a second.

--- a/cmd/hatchproxy/main.go
+++ b/cmd/hatchproxy/main.go
@@ -216,6 +216,7 @@
 	instance := proxy.New(proxy.Options{Log: log, Balancer: balancer, Listen: listenAddress, Discovery: newDiscoveryClient(config), CachedList: config.KnownServers(),
 		Classes: products, HardLimits: hardLimits, Zones: zones, Models: models, DialTimeout: config.DialTimeout(), LateThreshold: config.LateThreshold(),
 		MaxDescriptors: sockets})
+	instance.SetUnsentLimit(memory / unsentMemoryShare)
 	instance.SetListLimits(config.DrainGrace(), config.MaxPollInterval(), config.PushedByAgent())
 	initialOrders, err := readOrders(ordersPath)
 	if err != nil {
@@ -274,6 +275,10 @@
 	return list, nil
 }
 
+// unsentMemoryShare is the part of the process's memory, one in so many, that may hold output which peers do not read. A process without
+// connections takes 13 MB of the smallest limit, 32 MB.
+const unsentMemoryShare = 4
+
 // newDiscoveryClient returns a client of the discovery service that the configuration names.
 func newDiscoveryClient(config *platformconfig.Config) *discovery.Client {
 	_, address := config.Addresses()
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -71,3 +71,18 @@
 	})
 	<-done
 }
+
+// UnsentBytes returns the size of the output that peers have not read.
+func (p *Proxy) UnsentBytes() int {
+	total := make(chan int)
+	p.post(func() {
+		n := 0
+		for _, c := range p.clients {
+			for _, conn := range []gnet.Conn{c.conn, c.attempt.conn} {
+				n += conn.OutboundBuffered()
+			}
+		}
+		total <- n
+	})
+	return <-total
+}
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -107,6 +107,6 @@
 	}
 	p.endEstablished(c, m.by)
 	p.instance.DispatchEnded(p.now(), c.id, m.outcome, true)
-	p.closeConn(a.conn, false)
+	p.closeConn(a.conn, a.blocked)
 	p.closeAnswered(c)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,8 +81,10 @@
 	listOutdated      bool // as the balancer was last told
 	watching          bool // a watch is under way: a call is open, or the next one is about to be made
 	cancelWatch       context.CancelFunc
-	watchNumber       int                                                          // identifies the current watch; answers of earlier ones are ignored
-	ready             bool                                                         // a list has been received, or could not be while cached servers are known
+	watchNumber       int  // identifies the current watch; answers of earlier ones are ignored
+	ready             bool // a list has been received, or could not be while cached servers are known
+	unsent            unsentOutput
+	unsentGivenUp     int                                                          // connections given up since the last tick because their peers do not read
 	openSockets       int                                                          // descriptors of client and server connections
 	unregistered      atomic.Int32                                                 // descriptors set aside for connections until the event loop has them
 	takeoverSlots     chan struct{}                                                // holds an element for each connection that is being taken over
@@ -250,6 +252,7 @@
 	if err == nil && !isFinished(c.Context()) {
 		p.onLoopFailure()
 	}
+	p.unsent.forget(c)
 	switch owner := c.Context().(type) {
 	case *client:
 		p.openSockets--
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -38,11 +38,10 @@
 	if a.blocked {
 		return
 	}
-	_, _ = a.conn.Write(data) // a failure is reported as the end of the connection
+	p.write(a.conn, data)
 	if !a.finished && a.conn.OutboundBuffered() > maxUnsentBytes {
-		p.log.Warn("server does not read; moving its client", "server", a.server.endpoint)
-		a.blocked = true
-		p.moveClient(c, logic.Reset, bySilence)
+		p.unsentGivenUp++
+		p.giveUpServer(a)
 	}
 }
 
@@ -147,13 +146,10 @@
 
 // writeToClient forwards bytes to a client. It closes the connection of a client that does not read.
 func (p *Proxy) writeToClient(c *client, data []byte) {
-	_, _ = c.conn.Write(data) // a failure is reported as the end of the connection
+	p.write(c.conn, data)
 	if !c.request.HasEnded() && c.conn.OutboundBuffered() > maxUnsentBytes {
-		p.log.Warn("client does not read; closing its connection")
-		p.endEstablished(c, byClient)
-		p.instance.ClientLeft(p.now(), c.id)
-		p.closeConn(c.attempt.conn, true)
-		p.closeConn(c.conn, true)
+		p.unsentGivenUp++
+		p.giveUpClient(c)
 	}
 }
 
@@ -174,6 +170,10 @@
 		p.log.Warn("refused clients: all sockets are in use for requests", "count", p.socketRefusals, "sockets", p.maxSockets)
 		p.socketRefusals = 0
 	}
+	if p.unsentGivenUp > 0 {
+		p.log.Warn("gave up connections whose peers do not read", "count", p.unsentGivenUp, "unsent_bytes", p.unsent.total)
+		p.unsentGivenUp = 0
+	}
 	waitTimes := map[*server][]logic.Micros{}
 	var unanswered []*client
 	for _, c := range p.clients {
--- a/lab/hostile/server.go
+++ b/lab/hostile/server.go
@@ -19,6 +19,10 @@
 // thinkTime is how long a server takes to answer a request with slowField.
 const thinkTime = 400 * time.Millisecond
 
+// Sizes of the kernel's buffers for what a server has not read, in bytes. They are fixed, since the kernel lets a buffer that it sizes
+// itself grow to some megabytes. The small one makes what a deaf server leaves pile up at the proxy.
+const deafReadBuffer, ordinaryReadBuffer = 4 << 10, 256 << 10
+
 // server answers requests with UP, echoes what it gets, and counts how often it has run each id.
 type server struct {
 	listener net.Listener
@@ -48,6 +52,7 @@
 
 // serve handles one connection.
 func (s *server) serve(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetReadBuffer(deafReadBuffer)
 	reader := bufio.NewReaderSize(conn, 8<<10)
 	line, err := reader.ReadString('\n')
 	for err == nil && line == "PING\r\n" {
@@ -72,6 +77,7 @@
 	if slices.Contains(fields, deafField) {
 		return // the connection stays open, and nobody reads it
 	}
+	_ = conn.(*net.TCPConn).SetReadBuffer(ordinaryReadBuffer)
 	defer conn.Close()
 	_, _ = io.Copy(conn, reader)
 }
