Nothing is sent for a client that has left behind bytes which are still unread

Cause: the check before the write peeked at the next byte, and the end of a connection stands behind all unread bytes. Change: the kernel is asked whether the peer has closed; a client that sent more before its answer has broken the protocol, and its request is not sent.

--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -43,8 +43,10 @@
 	beforeTimeout, afterTimeout string // the parts of the OPEN line around that time, which OpenLine replaces
 }
 
+// ErrEarlyData is the error of a client that sends more before its connection is established.
+var ErrEarlyData = errors.New("bytes came before the connection was up")
+
 var (
-	errEarlyData    = errors.New("bytes came before the connection was up")
 	errUnknownLine  = errors.New("the first line means nothing")
 	errTooManyPings = errors.New("too many questions and no attachment")
 )
@@ -60,7 +62,7 @@
 		return ClientIncomplete, nil
 	}
 	if c.opened {
-		return c.invalid(errEarlyData)
+		return c.invalid(ErrEarlyData)
 	}
 	line, rest, whole, err := c.in.next(b)
 	if err != nil {
@@ -79,7 +81,7 @@
 		return c.invalid(err)
 	}
 	if len(rest) > 0 { // detected before anything is sent to a server
-		return c.invalid(errEarlyData)
+		return c.invalid(ErrEarlyData)
 	}
 	c.opened = true
 	c.in.release()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -175,10 +175,16 @@
 // window for a repeat may be over. An attempt that may not be sent ends here and has never run.
 func (p *Proxy) confirmSend(a *attempt) bool {
 	c, now := a.client, p.now()
-	if err := c.request.CheckSend(now, isClientPresent(c.conn)); err != nil {
+	presence := presenceOf(c.conn)
+	if presence == clientSentMore {
+		p.abandon(c)
+		p.rejectInvalid(c, protocol.ErrEarlyData)
+		return false
+	}
+	if err := c.request.CheckSend(now, presence == clientWaits); err != nil {
 		var violation *lifecycle.Violation
 		if errors.As(err, &violation) && violation.Rule == lifecycle.ClientPresent {
-			// The loop is about to read the client's end. It gets its final answer in case isClientPresent was wrong.
+			// The loop is about to read the client's end. It gets its final answer in case the check was wrong.
 			p.abandon(c)
 			p.answerAndClose(c, telemetry.Errored, protocol.FailedLine, "client left")
 			return false
@@ -194,16 +200,29 @@
 	return true
 }
 
-// isClientPresent reports whether a client's connection is neither closed nor reset by the client, even if the event
-// loop has not read that yet. Any other error of the check says nothing about the client, which then counts as present.
-func isClientPresent(conn gnet.Conn) bool {
+// clientPresence is what a client's socket tells before the event loop has read it.
+type clientPresence uint8
+
+const (
+	clientWaits    clientPresence = iota // it waits for its answer
+	clientSentMore                       // it has sent more, and may have left behind that
+	clientLeft                           // it has closed or reset the connection
+)
+
+// presenceOf returns what a client's socket tells. If the check itself fails, the client counts as waiting.
+func presenceOf(conn gnet.Conn) clientPresence {
 	if !isOpen(conn) {
-		return false
+		return clientLeft
+	}
+	fds := []unix.PollFd{{Fd: int32(conn.Fd()), Events: unix.POLLIN | unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	switch {
+	case err != nil || n == 0:
+		return clientWaits
+	case fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0:
+		return clientLeft
 	}
-	var buf [1]byte
-	n, _, err := unix.Recvfrom(conn.Fd(), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	ended := n == 0 && err == nil
-	return !ended && !errors.Is(err, unix.ECONNRESET)
+	return clientSentMore
 }
 
 // serverDataReceived parses bytes from a server: its answer to the request line, and afterwards what is relayed to the
--- a/internal/proxy/races_test.go
+++ b/internal/proxy/races_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -329,20 +332,40 @@
 }
 
 // Guards against sending for a client that left during the dial, when the event loop handles the dial's result before
-// it has read the client's end.
+// it has read the client's end, which may stand behind much that the client has sent.
 func TestNothingIsSentForAClientWhoseCloseIsStillUnread(t *testing.T) {
-	configure, dialled, release := holdDials()
-	s, servers := startProxyWithConfig(t, configWithoutProbes, 1024, func(p *proxy.Proxy) {
-		p.EnableMetrics()
-		configure(p)
-	}, "UP a")
-	c := s.openRequest("c=pay,d=1500")
-	<-dialled
-	s.proxy.StallLoopDuring(func() {
-		require.NoError(t, c.Close())
-		close(release)
-		time.Sleep(100 * time.Millisecond) // the dial's result is queued for the loop, ahead of the client's end
-	})
-	s.waitForMetrics("current 0")
-	require.Empty(t, servers[0].FirstLines())
+	for name, leave := range map[string]func(*testClient) error{
+		"close": func(c *testClient) error { return c.Close() },
+		"close behind unread bytes": func(c *testClient) error {
+			_, err := c.Write(bytes.Repeat([]byte("OPEN 1 1 c=pay,d=1500\r\n"), 1000))
+			return errors.Join(err, c.Close())
+		},
+		"close behind more than fits into the buffers": func(c *testClient) error {
+			require.NoError(c, c.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
+			_, err := c.Write(make([]byte, 64<<20))
+			require.ErrorIs(c, err, os.ErrDeadlineExceeded)
+			return c.Close()
+		},
+		"reset": func(c *testClient) error {
+			fleet.ResetConn(c.Conn)
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			configure, dialled, release := holdDials()
+			s, servers := startProxyWithConfig(t, configWithoutProbes, 1024, func(p *proxy.Proxy) {
+				p.EnableMetrics()
+				configure(p)
+			}, "UP a")
+			c := s.openRequest("c=pay,d=1500")
+			<-dialled
+			s.proxy.StallLoopDuring(func() {
+				require.NoError(t, leave(c))
+				close(release)
+				time.Sleep(100 * time.Millisecond) // the dial's result is queued for the loop, ahead of the client's end
+			})
+			s.waitForMetrics("current 0")
+			require.Empty(t, servers[0].FirstLines())
+		})
+	}
 }
