The id of a once-only request that was sent is not sent again, by either process

Cause: an id was taken only while its connection was open at this process. Change: ids that were sent are remembered until the class's hard limit after the deadline or the end, in bounded memory; the processes of a replacement tell each other theirs, without waiting for one that does not read. An id that provably never ran is free, as is one of a repeatable class. The existing test on ids of open connections is unchanged and passes.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -86,6 +86,9 @@
 // Attempts returns the number of attempts so far.
 func (r *Request) Attempts() int { return r.attempts }
 
+// MayHaveRun reports whether an attempt that has ended may have run.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
+
 // SetPartialLine records whether a part of the request line has been read and the rest is still to come.
 func (r *Request) SetPartialLine(partial bool) { r.partialLine = partial }
 
@@ -99,7 +102,12 @@
 }
 
 // Resume makes it the request of an established connection that was handed over by another process.
-func (r *Request) Resume() { r.state, r.established = Established, true }
+func (r *Request) Resume(idempotency logic.Idempotency) {
+	r.state, r.established, r.idempotency = Established, true, idempotency
+}
+
+// RunsOnce reports whether the request may run once only.
+func (r *Request) RunsOnce() bool { return r.idempotency == logic.OneShot }
 
 // Expire moves the deadline to now if it is later.
 func (r *Request) Expire(now logic.Micros) { r.deadline = min(r.deadline, now) }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -12,6 +12,7 @@
 const (
 	reasonNoDescriptors = "no descriptors"
 	reasonLeaving       = "leaving"
+	reasonRepeatedID    = "repeated id"
 )
 
 // failureReason returns why an accepted request ends without a server: the outcome of its last attempt, or that there
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -166,6 +166,7 @@
 	}
 	a.writeStarted = true
 	a.client.request.MarkSent()
+	p.rememberSent(a.client)
 	p.counters.Sends++
 	return gnet.None
 }
@@ -287,6 +288,9 @@
 	p.dropAttempt(a)
 	c.lastOutcome = outcome
 	c.request.FinishAttempt(!outcome.NeverRan())
+	if !c.request.MayHaveRun() {
+		p.sentIDs.remove(c.parser.ID)
+	}
 	if c.parser.ResumeServer != "" {
 		p.scheduleAfter(restoreRetryDelay, func() { p.restoreConnection(c) })
 		return
@@ -353,6 +357,7 @@
 	a.server.establishedCount--
 	a.server.reports.ConnClosed(&c.reports)
 	a.parser.Release()
+	p.rememberSent(c)
 	p.releaseClient(c)
 }
 
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -138,6 +138,7 @@
 	errNoRequest    = errors.New("nothing was asked")
 	errUnknownClass = errors.New("the class is unknown")
 	errDuplicateID  = errors.New("this id is open")
+	errRepeatedID   = errors.New("this id has been sent to a server before")
 )
 
 // clientDataReceived parses bytes from a client: health checks and its request, and afterwards what is relayed to the
@@ -189,6 +190,9 @@
 		// Servers reject a duplicate id, and the failure would be counted against them.
 		p.rejectInvalid(c, errDuplicateID)
 		return
+	case p.sentIDs.contains(now, c.parser.ID) && c.parser.ResumeServer == "":
+		p.rejectRepeated(c, class)
+		return
 	case p.refuseRequests:
 		p.refuse(c, reasonLeaving)
 		return
@@ -231,6 +235,16 @@
 	p.instance.Arrived(now, c.attachment)
 }
 
+// rejectRepeated answers a request whose id has been sent to a server before. One that may run once only may have run; any other
+// may be tried again.
+func (p *Proxy) rejectRepeated(c *client, class classConfig) {
+	if p.instance.Idempotency(class.product) == logic.OneShot {
+		p.rejectInvalid(c, errRepeatedID)
+		return
+	}
+	p.refuse(c, reasonRepeatedID)
+}
+
 // admit asks the limiter whether a request may come in and, if not, returns the reason and after how long the client
 // may try again. Connections that are restored are always admitted.
 func (p *Proxy) admit(now logic.Micros, c *client) (limits.Reason, logic.Micros) {
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -136,6 +136,7 @@
 	Rejoined    bool            `json:",omitempty"` // the sender was ordered to rejoin, which ends an evacuation
 	OrderNumber uint64          `json:",omitempty"` // with Evacuating or Rejoined: the order's number, from 1 on
 	List        *listPacket     `json:",omitempty"` // a part of the server list or of its changes
+	SentIDs     []sentID        `json:",omitempty"` // ids of requests that the sender has sent to servers
 }
 
 // maxServersPerPacket is how many servers a packet describes at most, with some 300 bytes each.
@@ -171,6 +172,27 @@
 	return err == nil
 }
 
+// inform sends a packet that the other process can do without, and does not wait for a process that does not read. After an error
+// nothing more of the kind is sent to it.
+func (p *Proxy) inform(to *succession.Conn, message packet) bool {
+	link := p.handover.listLink(to)
+	if link.broken {
+		return false
+	}
+	text, err := json.Marshal(message)
+	if err == nil {
+		err = to.SendWithin(informTimeout, text)
+	}
+	if err != nil {
+		p.log.Warn("cannot inform the other process", "error", err)
+		link.broken, link.toSend = true, nil
+	}
+	return err == nil
+}
+
+// informTimeout is how long inform waits for the other process to read.
+const informTimeout = 5 * time.Millisecond
+
 // successorConnected handles a process that is to replace this one, and receives its packets. If another successor was
 // connected before, the last one counts, unless connections are on their way to the other one.
 func (p *Proxy) successorConnected(c *succession.Conn) {
@@ -185,6 +207,7 @@
 	h.successor, h.successorReady = c, false
 	p.log.Info("a successor process connected")
 	p.sendLastOrder(c)
+	p.sendAllIDs(c)
 	p.sendWholeList(c)
 	go func() {
 		for {
@@ -220,6 +243,8 @@
 		p.orderReceived(message, c)
 	case message.List != nil:
 		p.listReceived(*message.List, c)
+	case message.SentIDs != nil:
+		p.idsReceived(message.SentIDs, c)
 	case message.Refused != 0:
 		p.log.Warn("the successor process did not get a connection's descriptors; taking it back", "number", message.Refused)
 		p.takeBack(message.Refused)
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -482,3 +482,49 @@
 	h.list.SetFailure("")
 	c.expectLine("UP b")
 }
+
+// Guards against a request that runs in both processes of a replacement because its client left one and came to the other, before or
+// after the connection was handed over.
+func TestAnIDThatOneProcessHasSentIsNotSentByTheOther(t *testing.T) {
+	const again = "ERR this id has been sent to a server before"
+	h := newHandoverEnv(t)
+	first := h.startProcess()
+	pending := first.dial("OPEN a1 7 x=1,c=pay,d=1500\r\n") // the server does not answer it
+	first.waitForClients(1)
+	established := first.dial("OPEN a2 7 c=pay,d=1500\r\n")
+	established.expectLine("UP a")
+	ended := first.dial("OPEN a3 7 c=pay,d=1500\r\n")
+	ended.expectLine("UP a")
+	require.NoError(t, ended.Close())
+	first.waitForClients(2)
+	second := h.startProcess()
+	for _, id := range []string{"a1", "a2", "a3"} {
+		second.dial("OPEN " + id + " 7 c=pay,d=1500\r\n").expectLine(again)
+	}
+	require.NoError(t, pending.Close())
+	first.leaveSignals <- syscall.SIGTERM
+	first.waitForExit(3 * time.Second)
+	second.waitForClients(1)
+	second.dial("OPEN a1 7 c=pay,d=1500\r\n").expectLine(again)
+	second.dial("OPEN a2 7 c=pay,d=1500\r\n").expectLine("ERR this id is open")
+	require.NoError(t, established.Close())
+	second.waitForClients(0)
+	second.dial("OPEN a2 7 c=pay,d=1500\r\n").expectLine(again)
+	require.Len(t, h.server.FirstLines(), 3)
+}
+
+// The same where the new process ends and the old one serves on.
+func TestAnIDThatAFailedSuccessorHasSentIsNotSentAgain(t *testing.T) {
+	h := newHandoverEnv(t)
+	first := h.startProcess()
+	second := h.startProcess()
+	c := second.dial("OPEN b1 7 c=pay,d=1500\r\n")
+	c.expectLine("UP a")
+	require.NoError(t, c.Close())
+	second.waitForClients(0)
+	second.leaveSignals <- syscall.SIGTERM
+	second.waitForExit(3 * time.Second)
+	first.openRequest("c=pay,d=1500").expectLine("UP a")
+	first.dial("OPEN b1 7 c=pay,d=1500\r\n").expectLine("ERR this id has been sent to a server before")
+	require.Len(t, h.server.FirstLines(), 2)
+}
--- a/internal/proxy/listexchange.go
+++ b/internal/proxy/listexchange.go
@@ -33,6 +33,7 @@
 
 // listLink is the exchange of lists with one other process.
 type listLink struct {
+	broken   bool // the other process does not read what it is informed of
 	toSend   []listPacket
 	received []discovery.Target // the parts of the list that is being received
 }
@@ -104,8 +105,7 @@
 	}
 	n := min(listPacketsPerStep, len(link.toSend))
 	for i := range n {
-		if !p.sendPacket(to, packet{List: &link.toSend[i]}) {
-			link.toSend = nil // its end will be noticed
+		if !p.inform(to, packet{List: &link.toSend[i]}) {
 			return
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -61,11 +61,12 @@
 
 	clients           map[logic.AttachmentID]*client
 	openIDs           map[uint64]bool // the request IDs that the present clients use
-	awaitingRequest   list.List       // clients that have not sent a whole request, oldest first
-	lingering         list.List       // clients that have been sent their final line and are about to close, oldest first
-	protocolErrors    int             // since the last tick
-	socketRefusals    int             // clients refused since the last tick because all sockets were in use for requests
-	lastProtocolError error           // the most recent of protocolErrors
+	sentIDs           sentIDs
+	awaitingRequest   list.List // clients that have not sent a whole request, oldest first
+	lingering         list.List // clients that have been sent their final line and are about to close, oldest first
+	protocolErrors    int       // since the last tick
+	socketRefusals    int       // clients refused since the last tick because all sockets were in use for requests
+	lastProtocolError error     // the most recent of protocolErrors
 	lastID            logic.AttachmentID
 	servers           map[logic.ServerID]*server
 	limiter           *limits.Limiter // nil if all clients are admitted
--- a/internal/proxy/races_test.go
+++ b/internal/proxy/races_test.go
@@ -369,3 +369,41 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice because its client left and sent it again under the same id: an id counted as free as soon
+// as its connection had ended, also while the server was still working on it.
+func TestAnIDThatMayRunOnceIsNotSentTwice(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		end    func(*testClient)
+	}{
+		"left while pending":    {"NONE", func(c *testClient) { c.waitForSend(); _ = c.Close() }},
+		"reset while pending":   {"NONE", func(c *testClient) { c.waitForSend(); fleet.ResetConn(c.Conn) }},
+		"given up":              {"NONE", func(c *testClient) { c.expectLine("ERR") }},
+		"failed":                {"ERR", func(c *testClient) { c.expectLine("ERR") }},
+		"established and ended": {"UP a", func(c *testClient) { c.expectLine("UP a"); _ = c.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, servers := startProxyWithConfig(t, configWithoutProbes, 1024, (*proxy.Proxy).EnableMetrics, test.answer)
+			test.end(s.dial("OPEN 99 7 c=pay,d=400\r\n"))
+			s.waitForMetrics("current 0")
+			s.dial("OPEN 99 7 c=pay,d=400\r\n").expectLine("ERR this id has been sent to a server before")
+			s.dial("OPEN 0099 7 c=chat,d=400\r\n").expectLine("BUSY")
+			require.Len(t, servers[0].FirstLines(), 1)
+		})
+	}
+}
+
+// An id whose request provably never ran is free again, and so is one of a class that may be repeated.
+func TestAnIDThatNeverRanMayComeAgain(t *testing.T) {
+	s, servers := startProxyWithConfig(t, configWithoutProbes, 1024, func(*proxy.Proxy) {}, "BUSY")
+	for range 2 {
+		s.dial("OPEN 99 7 c=pay,d=400\r\n").expectLine("BUSY")
+	}
+	require.Len(t, servers[0].FirstLines(), 6, "three attempts each")
+}
+
+// waitForSend waits until the proxy has sent a request to a server.
+func (s *harness) waitForSend() {
+	s.waitForMetrics("sends 1")
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -160,6 +160,10 @@
 	p.scheduleAfter(second, p.tick)
 	now := p.now()
 	p.expireOrders(now)
+	p.sentIDs.expire(now)
+	if n := p.sentIDs.takeForgotten(); n > 0 {
+		p.log.Warn("forgot ids of requests before their time, as there are too many", "count", n, "remembered", maxSentIDs)
+	}
 	p.logRefusals()
 	p.traceServers(now)
 	if p.protocolErrors > 0 {
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -118,6 +118,8 @@
 		p.orderReceived(message, p.handover.predecessor)
 	case message.List != nil:
 		p.listReceived(*message.List, p.handover.predecessor)
+	case message.SentIDs != nil:
+		p.idsReceived(message.SentIDs, p.handover.predecessor)
 	}
 	closeFiles(files)
 	release()
@@ -171,7 +173,7 @@
 	}
 	now := p.now()
 	c := &client{class: info.Class, unansweredAt: info.UnansweredAt, connectedAt: now, takeover: t}
-	c.request.Resume()
+	c.request.Resume(p.instance.Idempotency(p.classes[info.Class].product))
 	c.parser.ID, c.parser.Key, c.parser.Group, c.parser.Product = info.ID, info.Key, info.Group, info.Class
 	c.reports = loadreports.Conn{EstablishedAt: info.EstablishedAt, Load: info.Load}
 	a := &attempt{client: c, server: server, startedAt: now, deadline: now, closeOutcome: logic.Reset, cancelDial: func() {}}
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -40,10 +40,15 @@
 // Send sends a packet together with the given file descriptors, which stay open and belong to the caller. It retries for
 // up to sendRetryTimeout if the system is short of a resource.
 func (c *Conn) Send(packet []byte, files ...int) error {
+	return c.SendWithin(writeTimeout, packet, files...)
+}
+
+// SendWithin is Send with the time that it waits for the peer to read.
+func (c *Conn) SendWithin(timeout time.Duration, packet []byte, files ...int) error {
 	if len(packet) > maxPacketBytes {
 		return fmt.Errorf("a packet of %d bytes is too large", len(packet))
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.conn.SetWriteDeadline(time.Now().Add(timeout))
 	ctx, cancel := context.WithTimeout(context.Background(), sendRetryTimeout)
 	defer cancel()
 	return transient.Retry(ctx, transient.Backoff{Initial: time.Millisecond, Max: sendRetryTimeout / 4}, transient.IsResourceShortage, func() error {
--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -47,6 +47,7 @@
 			require.LessOrEqual(t, report.DescriptorsPeak, descriptorLimit)
 			require.LessOrEqual(t, report.DescriptorsAfter, report.DescriptorsBefore)
 			require.NotZero(t, report.LineCount, "established clients are served")
+			require.Zero(t, report.Repeated, "ids that ran twice")
 			require.Less(t, report.Lines.P50, lineTarget)
 		})
 	}
