The soak draws drains while discovery is crowded, and judges when they count as delivered

Change: trouble list-crowded (calls wait 1 s and end with 503, others are answered); a change that the proxy was not sent counts as delivered 6 s after it was made; half of the full-size seeds draw a crowd of 7 to 8.3 s with drains in it, from a source of their own, so that the rest of a seed stays. A failed experiment of machines prints its breaches; hatchlab hostile has a quiet kind.

--- a/lab/experiment/machines_test.go
+++ b/lab/experiment/machines_test.go
@@ -54,7 +54,7 @@
 	if record, err := os.ReadFile(filepath.Join(dir, "agents.txt")); err == nil {
 		t.Logf("%s", record)
 	}
-	require.Empty(t, result.Shortfalls)
+	require.Empty(t, result.Shortfalls, "%s", strings.Join(result.Breaches, "\n"))
 	require.Positive(t, result.Figures["settled-s"])
 	return result
 }
--- a/lab/fleet/discovery.go
+++ b/lab/fleet/discovery.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -100,8 +101,17 @@
 	requestCount      int
 	lastUnanswered    int // requests up to this number are never answered
 	queueTime         time.Duration
+	crowdedSince      Micros        // when it became crowded; 0 if it is not
+	deliveredRevs     map[int]int64 // the version that was recorded last as counting as delivered, by server number
 }
 
+const (
+	// crowdedTimeout is how long a crowded service lets a call wait before it turns it away.
+	crowdedTimeout = time.Second
+	// deliveryLimit is how long after the service has a change, and can be reached, the change counts as delivered to every proxy.
+	deliveryLimit = 6 * ledger.Second
+)
+
 // malformedAnswers are the answers of a discovery server whose failure is "garbage". A proxy must reject each as a whole.
 var malformedAnswers = []string{"{", `{"rev":9,"all":true,"targets":[{"uid":"x","state":"odd"}]}`, `{"all":true,"targets":[]}`,
 	`{"rev":"x"}`, "<html>no</html>", ""}
@@ -113,7 +123,7 @@
 
 // startDiscoveryAt is StartDiscovery with the address to listen at.
 func (l *ServerList) startDiscoveryAt(address string, proxy, zone int) (*DiscoveryServer, error) {
-	d := &DiscoveryServer{list: l, proxy: proxy, zone: zone, sentRevs: map[int]int64{}}
+	d := &DiscoveryServer{list: l, proxy: proxy, zone: zone, sentRevs: map[int]int64{}, deliveredRevs: map[int]int64{}}
 	return d, d.listen(address)
 }
 
@@ -214,6 +224,43 @@
 	})
 }
 
+// SetCrowded makes the server turn away the calls of its proxy after a wait, as if too many others called, or ends that. The others
+// are answered, so the service can be reached, and its changes count as delivered deliveryLimit after they were made.
+func (d *DiscoveryServer) SetCrowded(crowded bool) {
+	d.update(func() {
+		d.crowdedSince = 0
+		if crowded {
+			d.crowdedSince = max(1, d.list.eventLog.Now())
+		}
+	})
+}
+
+// turnAway answers a call of a crowded service, and records the changes that count as delivered by now although the proxy has not been
+// sent them.
+func (d *DiscoveryServer) turnAway(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-time.After(crowdedTimeout):
+	case <-r.Context().Done():
+		return
+	}
+	d.list.mu.Lock()
+	history := slices.Clone(d.list.history)
+	d.list.mu.Unlock()
+	d.mu.Lock()
+	now := d.list.eventLog.Now()
+	for _, e := range history {
+		deliveredAt := max(e.changedAt, d.crowdedSince) + deliveryLimit
+		if d.crowdedSince == 0 || deliveredAt > now || d.sentRevs[e.serverNumber] >= e.rev || d.deliveredRevs[e.serverNumber] >= e.rev {
+			continue
+		}
+		d.deliveredRevs[e.serverNumber] = e.rev
+		d.list.eventLog.Record(ledger.Event{At: deliveredAt, Kind: ledger.StateAnnounced, Proxy: d.proxy, Server: e.serverNumber, Product: ledger.None, Value: int64(e.state),
+			Note: "counts as delivered"})
+	}
+	d.mu.Unlock()
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // SetFailure makes the server fail: "down" answers with status 503, "garbage" with a malformed body, "silent" leaves requests
 // unanswered, and another text is the body of each answer. "" ends the failure.
 func (d *DiscoveryServer) SetFailure(failure string) { d.update(func() { d.failure = failure }) }
@@ -257,8 +304,12 @@
 	holdMS, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 	d.mu.Lock()
 	d.requestCount++
-	requestNumber, queueTime := d.requestCount, d.queueTime
+	requestNumber, queueTime, crowded := d.requestCount, d.queueTime, d.crowdedSince > 0
 	d.mu.Unlock()
+	if crowded {
+		d.turnAway(w, r)
+		return
+	}
 	if queueTime > 0 {
 		select {
 		case <-time.After(queueTime):
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -46,6 +46,7 @@
 	"list-frozen":  "discovery shows no changes",
 	"list-down":    "discovery answers with status 503",
 	"list-garbage": "discovery gives malformed answers",
+	"list-crowded": "discovery lets each new call wait for a second and answers with status 503, while others can reach it",
 
 	"list-moved":   "discovery moves to another address; the proxies' configuration is changed, and they get SIGHUP",
 	"proxy-stop":   "proxies are paused, and resume when the time is over",
@@ -156,6 +157,8 @@
 		f.eachDiscovery(func(discovery *DiscoveryServer) { discovery.SetFailure("down") })
 	case "list-garbage":
 		f.eachDiscovery(func(discovery *DiscoveryServer) { discovery.SetFailure("garbage") })
+	case "list-crowded":
+		f.eachDiscovery(func(discovery *DiscoveryServer) { discovery.SetCrowded(true) })
 	default:
 		for _, i := range t.Targets {
 			if err := f.beginServerTrouble(i, t); err != nil {
@@ -176,6 +179,8 @@
 		f.eachDiscovery(func(discovery *DiscoveryServer) { discovery.SetDelay(f.Config.DiscoveryDelay) })
 	case "list-frozen":
 		f.eachDiscovery(func(discovery *DiscoveryServer) { discovery.SetFrozen(false) })
+	case "list-crowded":
+		f.eachDiscovery(func(discovery *DiscoveryServer) { discovery.SetCrowded(false) })
 	case "list-down", "list-garbage":
 		f.eachDiscovery(func(discovery *DiscoveryServer) { discovery.SetFailure("") })
 	default:
--- a/lab/hostile/clients.go
+++ b/lab/hostile/clients.go
@@ -23,7 +23,7 @@
 
 // Kinds are the kinds of hostile clients.
 var Kinds = []Kind{
-	{"quiet", "none: the ordinary load alone", 1, func(ctx context.Context, _ *client) { <-ctx.Done() }},
+	{"quiet", "none: the ordinary load alone", 1, runQuiet},
 	{"resets", "connect and reset at once", 4, runResets},
 	{"leavers", "send a whole request and leave in the same instant, half of them by a reset", 50, runLeavers},
 	{"large", "send requests of just under 4 KiB, of few long fields or many short ones", 100, runLarge},
@@ -80,6 +80,12 @@
 	_ = conn.Close()
 }
 
+// runQuiet does nothing, once.
+func runQuiet(ctx context.Context, c *client) {
+	c.operations.Add(1)
+	<-ctx.Done()
+}
+
 func runResets(ctx context.Context, c *client) {
 	for ctx.Err() == nil {
 		if conn, err := c.dial(ctx); err == nil {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -18,11 +18,12 @@
 	MinProxies, MaxProxies int           // both inclusive
 	LoadLength             time.Duration // how long clients send requests
 	TroubleCount           int           // troubles to draw; those that find no target left are omitted
+	HasCrowdedDrains       bool          // half of the runs have servers that drain while discovery is crowded; they need LoadLength
 }
 
 // Full is the default of `hatchlab soak`; Short is the size that CI runs.
 var (
-	Full  = Size{MinProxies: 10, MaxProxies: 40, LoadLength: 14 * time.Second, TroubleCount: 12}
+	Full  = Size{MinProxies: 10, MaxProxies: 40, LoadLength: 14 * time.Second, TroubleCount: 12, HasCrowdedDrains: true}
 	Short = Size{MinProxies: 10, MaxProxies: 14, LoadLength: 9 * time.Second, TroubleCount: 8}
 )
 
@@ -85,8 +86,15 @@
 	g := &generator{rng: rand.New(rand.NewPCG(seed, 0x50a1)), size: size, exclusiveTargets: map[int]bool{}}
 	g.proxyCount = size.MinProxies + g.rng.IntN(size.MaxProxies-size.MinProxies+1)
 	g.serverCount = 6 + g.rng.IntN(5)
+	if size.HasCrowdedDrains {
+		// A source of its own leaves the rest of a seed's schedule as it was before this was drawn.
+		g.crowdedDrain = drawCrowdedDrain(rand.New(rand.NewPCG(seed, 0xc0ed)), g.serverCount)
+	}
 	g.writeSetup(seed)
 	schedule := &Schedule{Seed: seed}
+	if g.crowdedDrain != nil {
+		schedule.TroubleKinds = append(schedule.TroubleKinds, g.writeCrowdedDrain()...)
+	}
 	for range size.TroubleCount {
 		if kind := g.writeTrouble(troubleSpecs[g.rng.IntN(len(troubleSpecs))]); kind != "" {
 			schedule.TroubleKinds = append(schedule.TroubleKinds, kind)
@@ -107,6 +115,7 @@
 	proxyCount       int
 	serverCount      int
 	exclusiveTargets map[int]bool // proxies that already have an exclusive trouble, by index
+	crowdedDrain     *crowdedDrain
 	toml             strings.Builder
 }
 
@@ -121,6 +130,9 @@
 func (g *generator) writeSetup(seed uint64) {
 	g.writeLine("name = \"soak-%d\"\nlength = %q\nseeds = [%d]", seed, g.size.LoadLength, seed)
 	g.writeLine("\n[proxies]\ncount = %d\nsockets = %d", g.proxyCount, []int{160, 256, 512}[g.rng.IntN(3)])
+	if g.crowdedDrain != nil {
+		g.writeLine("grace = %q", crowdedDrainGrace)
+	}
 	g.writeLine("\n[fleet]\nservers = %d\nzones = [\"a\", \"b\"]\nbetween = \"1ms\"\ncell-size = 2\nset-up = \"4ms\"\nload = \"20ms\"\nprobes = %t",
 		g.serverCount, g.rng.IntN(2) == 0)
 	g.writeLine("connections-per-core = 200\nqueue-per-core = 40\nnotice = \"300ms\"")
@@ -131,6 +143,42 @@
 	g.writeLine("\n[load]\nrate = %d.0\ngroups = 30\nretries = 2\nleave = 0.1\nrest = 0.15\nevery = \"500ms\"", g.proxyCount*requestsPerSecondPerProxy)
 }
 
+// crowdedDrain is a part of a run in which servers begin to drain while discovery is crowded.
+type crowdedDrain struct {
+	start, length time.Duration // of the crowd
+	drainStart    time.Duration
+	servers       []int
+}
+
+// crowdedDrainGrace is the time for which new requests may go to a draining server, as at the sites with the shortest one
+// (drain_grace_ms = 300).
+const crowdedDrainGrace = 300 * time.Millisecond
+
+// drawCrowdedDrain draws such a part, or returns nil for half of the seeds. The crowd lasts 7 to 8.3 s, within all_call_s = [4, 8.3] of
+// the site files: "at any scale it can take one call from every instance in this time". Drains begin "right after", as on brink days.
+func drawCrowdedDrain(rng *rand.Rand, serverCount int) *crowdedDrain {
+	if rng.IntN(2) == 0 {
+		return nil
+	}
+	between := func(low, high float64) time.Duration {
+		return time.Duration((low + (high-low)*rng.Float64()) * 1e9).Round(time.Millisecond)
+	}
+	d := &crowdedDrain{start: between(1, 3), length: between(7, 8.3)}
+	d.drainStart = d.start + between(0.1, 0.6)
+	d.servers = rng.Perm(serverCount)[:1+rng.IntN(max(1, serverCount/3))]
+	slices.Sort(d.servers)
+	return d
+}
+
+// writeCrowdedDrain writes the troubles and returns their kinds.
+func (g *generator) writeCrowdedDrain() []string {
+	d := g.crowdedDrain
+	g.writeLine("\n[[trouble]]\nkind = \"list-crowded\"\nat = %q\nfor = %q", d.start, d.length)
+	g.writeLine("\n[[trouble]]\nkind = \"drain\"\nat = %q\nfor = %q\nsize = 0.0\nservers = %s", d.drainStart, g.size.LoadLength,
+		strings.ReplaceAll(fmt.Sprint(d.servers), " ", ", "))
+	return []string{"list-crowded", "drain"}
+}
+
 // writeProduct writes a product with a random time limit; repeat and reach say whether and where its requests may be
 // repeated.
 func (g *generator) writeProduct(name, repeat, reach string, share float64) {
