Settings with an impossible number of products are an error

Cause: the number was taken for a length unchecked. Change: whole numbers from 0 to 1,000, with the key in the error; probes are dialled with a copy of the dial timeout, which a reload may change meanwhile (read in the code, not shown).

--- a/cmd/hatchlab/main.go
+++ b/cmd/hatchlab/main.go
@@ -49,6 +49,6 @@
 Exit codes: 0 all expectations were met, 1 one was not met or a rule was broken, 2 it could not run.`,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand(), figuresCommand(), traceCommand(), demoCommand(), fleetCommand(), compareCommand(), costCommand(), relayCommand(), chaosCommand(), spreadCommand(), worthCommand(), soakCommand(), hostileCommand())
+	root.AddCommand(runCommand(), checkCommand(), figuresCommand(), traceCommand(), demoCommand(), fleetCommand(), compareCommand(), costCommand(), relayCommand(), chaosCommand(), spreadCommand(), worthCommand(), soakCommand(), hostileCommand(), mutantsCommand())
 	return root
 }
--- a/internal/platformconfig/config_test.go
+++ b/internal/platformconfig/config_test.go
@@ -152,3 +152,12 @@
 	require.ErrorContains(t, checkReplacement(t, strings.Replace(completeConfig, "300.0}]", "300.0},"+strings.Replace(second, `"idempotency":"once",`, "", 1)+"]", 1)),
 		"/settings/products/*/idempotency: missing", "each product must have the keys that all products had before")
 }
+
+// Guards against settings that end the process at the start or at SIGHUP: a number of products below 0 or far too large.
+func TestImpossibleNumbersOfProductsAreErrors(t *testing.T) {
+	for _, count := range []string{"-1", "1.5", "1e18", `"NaN"`} {
+		text := regexp.MustCompile(`"products":\[.*?\]`).ReplaceAllString(validConfig, `"products":{"count":`+count+`}`)
+		_, err := readConfig(t, text, nil)
+		require.ErrorContains(t, err, "products.count", count)
+	}
+}
--- a/internal/platformconfig/settings.go
+++ b/internal/platformconfig/settings.go
@@ -84,12 +84,18 @@
 	}
 )
 
+// maxProducts is far above the number of products of any settings.
+const maxProducts = 1000
+
 // products returns the products in the order of their IDs.
 func (s Settings) products() ([]logic.Product, error) {
 	count, err := s.number("products.count")
 	if err != nil {
 		return nil, err
 	}
+	if !(count >= 0 && count <= maxProducts && count == math.Trunc(count)) {
+		return nil, fmt.Errorf("products.count: %q is no whole number from 0 to %d", s["products.count"], maxProducts)
+	}
 	messageTimes := s.list("family-info.message-aim-ms")
 	products := make([]logic.Product, int(count))
 	for i := range products {
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -29,7 +29,7 @@
 	case s.probe == nil && p.ensureDescriptors(2):
 		s.probe = &probe{server: s, sentAt: p.now(), pending: true}
 		p.openSockets += 2
-		go p.dialProbe(s.probe, s.endpoint)
+		go p.dialProbe(s.probe, s.endpoint, p.dialTimeout)
 	case s.probe == nil:
 	case s.probe.pending:
 		p.instance.RecordProbe(p.now(), id, p.now()-s.probe.sentAt)
@@ -44,9 +44,9 @@
 	_, _ = pr.conn.Write(protocol.ProbeLine) // a failure is reported as the end of the connection
 }
 
-// dialProbe connects to a server. It runs outside the event loop.
-func (p *Proxy) dialProbe(pr *probe, endpoint string) {
-	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(p.dialTimeout)*time.Microsecond)
+// dialProbe connects to a server within a time. It runs outside the event loop, on which a reload may change the dial timeout.
+func (p *Proxy) dialProbe(pr *probe, endpoint string, wait logic.Micros) {
+	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(wait)*time.Microsecond)
 	defer cancel()
 	if err := p.dialAndRegister(ctx, pr, endpoint); err != nil {
 		p.post(func() {
--- a/lab/fleet/discovery.go
+++ b/lab/fleet/discovery.go
@@ -224,8 +224,8 @@
 	})
 }
 
-// SetCrowded makes the server turn away the calls of its proxy after a wait, as if too many others called, or ends that. The others
-// are answered, so the service can be reached, and its changes count as delivered deliveryLimit after they were made.
+// SetCrowded makes the server turn away the calls of its proxy after a wait, as if too many others called, or ends that. Open long polls
+// are answered as if their time were over, so that the next calls come into the crowd. The others are answered, so the service can be reached, and its changes count as delivered deliveryLimit after they were made.
 func (d *DiscoveryServer) SetCrowded(crowded bool) {
 	d.update(func() {
 		d.crowdedSince = 0
@@ -323,8 +323,9 @@
 	for {
 		d.mu.Lock()
 		rev, failure, untilNext := d.visibleRev(), d.failure, d.untilNextRev(d.visibleRev())
+		crowded = d.crowdedSince > 0
 		d.mu.Unlock()
-		if full || rev > fromRev || failure != "" {
+		if full || rev > fromRev || failure != "" || crowded {
 			break
 		}
 		changed := d.list.changed
