A request's time runs while it waits to be accepted and read

Cause: the time of a request was counted from when its line was read, and connections had waited in the backlog for up to a second. Change: the kernel's age of the last bytes is taken off.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"hatchproxy/internal/lifecycle"
 	"hatchproxy/internal/loadreports"
@@ -210,12 +211,13 @@
 		maxWait = maxRestoreTime
 	}
 	wait := min(cmp.Or(c.parser.Timeout, maxWait), maxWait)
+	age := min(ageOfInput(c.conn), wait)
 	p.lastID++
 	c.id = p.lastID
 	p.openIDs[c.parser.ID] = true
 	c.attachment = &logic.Attachment{
 		ID: c.id, Product: class.product, Group: c.parser.Group, Key: c.parser.Key, LoadHint: c.parser.LoadHint, Returning: c.parser.Returning,
-		ArrivedAt: now, HardLimit: now + max(wait-deadlineMargin, wait/2),
+		ArrivedAt: now, HardLimit: now + max(max(wait-deadlineMargin, wait/2)-age, 0),
 	}
 	p.clients[c.id] = c
 	idempotency := p.instance.Idempotency(class.product)
@@ -235,6 +237,16 @@
 	p.instance.Arrived(now, c.attachment)
 }
 
+// ageOfInput returns how long ago this machine received the last bytes of a connection. They may have waited for the connection to be
+// accepted or for the event loop, while the client's time ran. It returns 0 if the kernel does not tell.
+func ageOfInput(conn gnet.Conn) logic.Micros {
+	info, err := unix.GetsockoptTCPInfo(conn.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return logic.Micros(info.Last_data_recv) * millisecond
+}
+
 // rejectRepeated answers a request whose id has been sent to a server before. One that may run once only may have run; any other
 // may be tried again.
 func (p *Proxy) rejectRepeated(c *client, class classConfig) {
--- a/internal/proxy/races_test.go
+++ b/internal/proxy/races_test.go
@@ -407,3 +407,18 @@
 func (s *harness) waitForSend() {
 	s.waitForMetrics("sends 1")
 }
+
+// Guards against an answer that is late by as long as the request waited to be read: its time ran from when the proxy read it.
+func TestTheTimeOfARequestRunsWhileItWaitsToBeRead(t *testing.T) {
+	const wait, unread = 900 * time.Millisecond, 500 * time.Millisecond
+	s, _ := startProxyWithConfig(t, configWithoutProbes, 1024, (*proxy.Proxy).EnableMetrics, "NONE")
+	var c *testClient
+	var sentAt time.Time
+	s.proxy.StallLoopDuring(func() {
+		sentAt = time.Now()
+		c = s.dial(fmt.Sprintf("OPEN 99 7 c=pay,d=%d\r\n", wait.Milliseconds()))
+		time.Sleep(unread)
+	})
+	c.expectLine("ERR")
+	require.Less(t, time.Since(sentAt), wait+unread/2)
+}
