A shared socket that another process has made blocking holds up no event loop

Cause: the blocking mode of a shared listening socket is shared; accept waited in the kernel, and the event loop for the acceptor's Close (goroutine dump). Ruled out: the succession channel and the moves, all of which were done. Change: the mode is set before each accept; Close waits 5 ms at most.

--- a/internal/listen/filelistener.go
+++ b/internal/listen/filelistener.go
@@ -65,9 +65,13 @@
 	return os.NewFile(uintptr(fd), "client"), nil
 }
 
-// acceptOne accepts a connection that is waiting, or fails with EAGAIN if there is none.
+// acceptOne accepts a connection that is waiting, or fails with EAGAIN if there is none. Processes that share a listening socket share its
+// blocking mode, too, which any of them may change, so it is set before each call.
 func acceptOne(listener int) (fd int, err error) {
 	for {
+		if err := unix.SetNonblock(listener, true); err != nil {
+			return -1, err
+		}
 		fd, _, err = unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == unix.EINTR || err == unix.ECONNABORTED { // ECONNABORTED: the client has left already
 			continue
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -60,12 +60,24 @@
 	return a.paused
 }
 
-// Close stops the acceptor for good and closes its listener.
+// closeTimeout is how long Close waits for the listener to close.
+const closeTimeout = 5 * time.Millisecond
+
+// Close stops the acceptor for good and closes its listener. It does not wait for a call of accept that blocks because another process
+// has just made the shared socket a blocking one: the event loop must go on.
 func (a *acceptor) Close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closed = true
-	_ = a.listener.Close()
+	listenerClosed := make(chan struct{})
+	go func() {
+		_ = a.listener.Close()
+		close(listenerClosed)
+	}()
+	select {
+	case <-listenerClosed:
+	case <-time.After(closeTimeout):
+	}
 	a.stateChanged.Broadcast()
 }
 
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -528,3 +528,17 @@
 	first.dial("OPEN b1 7 c=pay,d=1500\r\n").expectLine("ERR this id has been sent to a server before")
 	require.Len(t, h.server.FirstLines(), 2)
 }
+
+// Guards against a process that does not end because another one has made the shared listening socket a blocking one: its acceptor waited
+// in the kernel, and the event loop for the acceptor.
+func TestABlockingSharedSocketDoesNotKeepAProcessFromEnding(t *testing.T) {
+	h := newHandoverEnv(t)
+	first := h.startProcess()
+	raw, err := h.socket.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { err = syscall.SetNonblock(int(fd), false) }))
+	require.NoError(t, err)
+	first.expectPingAnswer("PONG") // the acceptor goes on to the next connection, of which there is none
+	first.leaveSignals <- syscall.SIGTERM
+	first.waitForExit(3 * time.Second)
+}
